--- a/src/main/java/hollyspoke/Control.java
+++ b/src/main/java/cairnline/Control.java
@@ -1,7 +1,7 @@
-package hollyspoke;
+package cairnline;
 
-import hollyspoke.Query.Attempt;
-import hollyspoke.Query.Line;
+import cairnline.Query.Attempt;
+import cairnline.Query.Line;
 
 import java.util.ArrayList;
 import java.util.Collections;
--- a/src/main/java/hollyspoke/ControlApi.java
+++ b/src/main/java/cairnline/ControlApi.java
@@ -1,4 +1,4 @@
-package hollyspoke;
+package cairnline;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/hollyspoke/EngineState.java
+++ b/src/main/java/cairnline/EngineState.java
@@ -1,10 +1,10 @@
-package hollyspoke;
+package cairnline;
 
-import hollyspoke.ControlApi.Engine;
-import hollyspoke.ControlApi.Kind;
-import hollyspoke.ControlApi.Listed;
-import hollyspoke.ControlApi.Scope;
-import hollyspoke.ControlApi.Type;
+import cairnline.ControlApi.Engine;
+import cairnline.ControlApi.Kind;
+import cairnline.ControlApi.Listed;
+import cairnline.ControlApi.Scope;
+import cairnline.ControlApi.Type;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/hollyspoke/Gaussian.java
+++ b/src/main/java/cairnline/Gaussian.java
@@ -1,4 +1,4 @@
-package hollyspoke;
+package cairnline;
 
 /** The standard normal distribution. */
 final class Gaussian {
--- a/src/main/java/hollyspoke/Query.java
+++ b/src/main/java/cairnline/Query.java
@@ -1,6 +1,6 @@
-package hollyspoke;
+package cairnline;
 
-import hollyspoke.ControlApi.Request;
+import cairnline.ControlApi.Request;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/hollyspoke/simhost/Fields.java
+++ b/src/main/java/cairnline/simhost/Fields.java
@@ -1,4 +1,4 @@
-package hollyspoke.simhost;
+package cairnline.simhost;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/hollyspoke/simhost/Host.java
+++ b/src/main/java/cairnline/simhost/Host.java
@@ -1,15 +1,15 @@
-package hollyspoke.simhost;
+package cairnline.simhost;
 
-import hollyspoke.Control;
-import hollyspoke.ControlApi;
-import hollyspoke.ControlApi.End;
-import hollyspoke.ControlApi.Engine;
-import hollyspoke.ControlApi.Listed;
-import hollyspoke.ControlApi.Load;
-import hollyspoke.ControlApi.Note;
-import hollyspoke.ControlApi.NoteKind;
-import hollyspoke.ControlApi.Outcome;
-import hollyspoke.ControlApi.Request;
+import cairnline.Control;
+import cairnline.ControlApi;
+import cairnline.ControlApi.End;
+import cairnline.ControlApi.Engine;
+import cairnline.ControlApi.Listed;
+import cairnline.ControlApi.Load;
+import cairnline.ControlApi.Note;
+import cairnline.ControlApi.NoteKind;
+import cairnline.ControlApi.Outcome;
+import cairnline.ControlApi.Request;
 
 import java.io.BufferedReader;
 import java.io.IOException;
--- a/src/main/java/hollyspoke/simhost/Main.java
+++ b/src/main/java/cairnline/simhost/Main.java
@@ -1,4 +1,4 @@
-package hollyspoke.simhost;
+package cairnline.simhost;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -15,14 +15,14 @@
     /** Runs the adapter; exits with 2 on wrong usage and 1 on malformed input. */
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar hollyspoke.jar simhost");
+            System.err.println("usage: java -jar cairnline.jar simhost");
             System.exit(2);
         }
         BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), BUFFER);
         try {
             serve(in, System.out);
         } catch (WireException e) {
-            System.err.println("hollyspoke: " + e.getMessage());
+            System.err.println("cairnline: " + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/main/java/hollyspoke/simhost/Replies.java
+++ b/src/main/java/cairnline/simhost/Replies.java
@@ -1,6 +1,6 @@
-package hollyspoke.simhost;
+package cairnline.simhost;
 
-import hollyspoke.ControlApi.Actions;
+import cairnline.ControlApi.Actions;
 
 import java.util.Base64;
 
--- a/src/main/java/hollyspoke/simhost/SettingsReader.java
+++ b/src/main/java/cairnline/simhost/SettingsReader.java
@@ -1,13 +1,13 @@
-package hollyspoke.simhost;
+package cairnline.simhost;
 
-import hollyspoke.ControlApi.Effect;
-import hollyspoke.ControlApi.Kind;
-import hollyspoke.ControlApi.Permissions;
-import hollyspoke.ControlApi.Rules;
-import hollyspoke.ControlApi.Scope;
-import hollyspoke.ControlApi.Settings;
-import hollyspoke.ControlApi.Tenant;
-import hollyspoke.ControlApi.Type;
+import cairnline.ControlApi.Effect;
+import cairnline.ControlApi.Kind;
+import cairnline.ControlApi.Permissions;
+import cairnline.ControlApi.Rules;
+import cairnline.ControlApi.Scope;
+import cairnline.ControlApi.Settings;
+import cairnline.ControlApi.Tenant;
+import cairnline.ControlApi.Type;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/src/main/java/hollyspoke/simhost/WireException.java
+++ b/src/main/java/cairnline/simhost/WireException.java
@@ -1,4 +1,4 @@
-package hollyspoke.simhost;
+package cairnline.simhost;
 
 /** Input that does not follow the wire. */
 final class WireException extends RuntimeException {
--- a/src/test/java/hollyspoke/EmbeddingTest.java
+++ b/src/test/java/cairnline/EmbeddingTest.java
@@ -1,8 +1,8 @@
-package hollyspoke;
+package cairnline;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import hollyspoke.Script.Site;
+import cairnline.Script.Site;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/hollyspoke/FleetTest.java
+++ b/src/test/java/cairnline/FleetTest.java
@@ -1,19 +1,19 @@
-package hollyspoke;
+package cairnline;
 
-import static hollyspoke.Script.MS;
-import static hollyspoke.Script.SECOND;
+import static cairnline.Script.MS;
+import static cairnline.Script.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hollyspoke.ControlApi.Effect;
-import hollyspoke.ControlApi.End;
-import hollyspoke.ControlApi.Engine;
-import hollyspoke.ControlApi.Listed;
-import hollyspoke.ControlApi.Load;
-import hollyspoke.ControlApi.NoteKind;
-import hollyspoke.ControlApi.Outcome;
-import hollyspoke.Script.Site;
+import cairnline.ControlApi.Effect;
+import cairnline.ControlApi.End;
+import cairnline.ControlApi.Engine;
+import cairnline.ControlApi.Listed;
+import cairnline.ControlApi.Load;
+import cairnline.ControlApi.NoteKind;
+import cairnline.ControlApi.Outcome;
+import cairnline.Script.Site;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/hollyspoke/RulesTest.java
+++ b/src/test/java/cairnline/RulesTest.java
@@ -1,16 +1,16 @@
-package hollyspoke;
+package cairnline;
 
-import static hollyspoke.Script.MS;
-import static hollyspoke.Script.SECOND;
+import static cairnline.Script.MS;
+import static cairnline.Script.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hollyspoke.ControlApi.Effect;
-import hollyspoke.ControlApi.End;
-import hollyspoke.ControlApi.Listed;
-import hollyspoke.ControlApi.Scope;
-import hollyspoke.Script.Site;
+import cairnline.ControlApi.Effect;
+import cairnline.ControlApi.End;
+import cairnline.ControlApi.Listed;
+import cairnline.ControlApi.Scope;
+import cairnline.Script.Site;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/hollyspoke/Script.java
+++ b/src/test/java/cairnline/Script.java
@@ -1,22 +1,22 @@
-package hollyspoke;
-
-import hollyspoke.ControlApi.Actions;
-import hollyspoke.ControlApi.Effect;
-import hollyspoke.ControlApi.End;
-import hollyspoke.ControlApi.Engine;
-import hollyspoke.ControlApi.Kind;
-import hollyspoke.ControlApi.Listed;
-import hollyspoke.ControlApi.Load;
-import hollyspoke.ControlApi.Note;
-import hollyspoke.ControlApi.NoteKind;
-import hollyspoke.ControlApi.Outcome;
-import hollyspoke.ControlApi.Permissions;
-import hollyspoke.ControlApi.Request;
-import hollyspoke.ControlApi.Rules;
-import hollyspoke.ControlApi.Scope;
-import hollyspoke.ControlApi.Settings;
-import hollyspoke.ControlApi.Tenant;
-import hollyspoke.ControlApi.Type;
+package cairnline;
+
+import cairnline.ControlApi.Actions;
+import cairnline.ControlApi.Effect;
+import cairnline.ControlApi.End;
+import cairnline.ControlApi.Engine;
+import cairnline.ControlApi.Kind;
+import cairnline.ControlApi.Listed;
+import cairnline.ControlApi.Load;
+import cairnline.ControlApi.Note;
+import cairnline.ControlApi.NoteKind;
+import cairnline.ControlApi.Outcome;
+import cairnline.ControlApi.Permissions;
+import cairnline.ControlApi.Request;
+import cairnline.ControlApi.Rules;
+import cairnline.ControlApi.Scope;
+import cairnline.ControlApi.Settings;
+import cairnline.ControlApi.Tenant;
+import cairnline.ControlApi.Type;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/src/test/java/hollyspoke/simhost/AdapterTest.java
+++ b/src/test/java/cairnline/simhost/AdapterTest.java
@@ -1,4 +1,4 @@
-package hollyspoke.simhost;
+package cairnline.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
