--- a/src/main/java/cairnline/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -1,7 +1,7 @@
-package cairnline;
+package cairnline.control;
 
-import cairnline.Query.Attempt;
-import cairnline.Query.Line;
+import cairnline.control.Query.Attempt;
+import cairnline.control.Query.Line;
 
 import java.util.ArrayList;
 import java.util.Collections;
--- a/src/main/java/cairnline/ControlApi.java
+++ b/src/main/java/cairnline/control/ControlApi.java
@@ -1,4 +1,4 @@
-package cairnline;
+package cairnline.control;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/cairnline/EngineState.java
+++ b/src/main/java/cairnline/control/EngineState.java
@@ -1,10 +1,10 @@
-package cairnline;
+package cairnline.control;
 
-import cairnline.ControlApi.Engine;
-import cairnline.ControlApi.Kind;
-import cairnline.ControlApi.Listed;
-import cairnline.ControlApi.Scope;
-import cairnline.ControlApi.Type;
+import cairnline.control.ControlApi.Engine;
+import cairnline.control.ControlApi.Kind;
+import cairnline.control.ControlApi.Listed;
+import cairnline.control.ControlApi.Scope;
+import cairnline.control.ControlApi.Type;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/cairnline/Gaussian.java
+++ b/src/main/java/cairnline/control/Gaussian.java
@@ -1,4 +1,4 @@
-package cairnline;
+package cairnline.control;
 
 /** The standard normal distribution. */
 final class Gaussian {
--- a/src/main/java/cairnline/Query.java
+++ b/src/main/java/cairnline/control/Query.java
@@ -1,6 +1,6 @@
-package cairnline;
+package cairnline.control;
 
-import cairnline.ControlApi.Request;
+import cairnline.control.ControlApi.Request;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- /dev/null
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -0,0 +1,221 @@
+package cairnline.program;
+
+import cairnline.control.ControlApi.Effect;
+import cairnline.control.ControlApi.Settings;
+import cairnline.protocol.FeedEvent;
+import cairnline.protocol.Json;
+import cairnline.protocol.ProtocolException;
+import cairnline.routing.Clock;
+import cairnline.routing.Limits;
+import cairnline.simhost.Fields;
+import cairnline.simhost.SettingsReader;
+import cairnline.simhost.WireException;
+import cairnline.transport.ClientFront.ClassRules;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.StringJoiner;
+
+/** All that the program is told from outside: read, checked and given defaults here and nowhere else. */
+final class Configuration {
+    private static final int SOCKETS_DEFAULT = 1024;
+    private static final int SOCKETS_LEAST = 64;
+    private static final long NANOS_PER_MICRO = 1_000;
+
+    private final InetSocketAddress listen;
+    private final InetSocketAddress feed;
+    private final long seed;
+    private final long knownLast;
+    private final List<FeedEvent> known;
+    private final Settings settings;
+    private final Limits limits;
+
+    private Configuration(Map<String, Object> root, String listenOverride) {
+        listen = address("listen", listenOverride != null ? listenOverride : text(root, "listen"));
+        feed = address("feed", text(root, "feed"));
+        seed = seed(root.get("seed"));
+        Map<String, Object> held = object(root, "known");
+        knownLast = whole(held, "known.n", "n", 0);
+        known = events(held);
+        Fields fields = Fields.of(flat(object(root, "settings")));
+        settings = settings(fields);
+        limits = limits(root, fields);
+    }
+
+    /** Reads the file that the environment names. */
+    static Configuration read(Map<String, String> environment) {
+        String file = environment.get("ROUTER_CONFIG");
+        if (file == null) {
+            throw new ConfigurationException("ROUTER_CONFIG", "the environment names no configuration file");
+        }
+        try {
+            return of(Files.readAllBytes(Path.of(file)), environment.get("ROUTER_LISTEN"));
+        } catch (IOException | RuntimeException e) {
+            if (e instanceof ConfigurationException known) {
+                throw known;
+            }
+            throw new ConfigurationException("ROUTER_CONFIG", "can't read " + file + ": " + e.getMessage());
+        }
+    }
+
+    /** Reads a configuration; an address given beside it stands before its own. */
+    static Configuration of(byte[] json, String listenOverride) {
+        return new Configuration(Json.object(json), listenOverride);
+    }
+
+    InetSocketAddress listen() {
+        return listen;
+    }
+
+    InetSocketAddress feed() {
+        return feed;
+    }
+
+    long seed() {
+        return seed;
+    }
+
+    long knownLast() {
+        return knownLast;
+    }
+
+    List<FeedEvent> known() {
+        return known;
+    }
+
+    Settings settings() {
+        return settings;
+    }
+
+    Limits limits() {
+        return limits;
+    }
+
+    /** What the requests of each class must carry. */
+    Map<String, ClassRules> classes() {
+        Map<String, ClassRules> classes = new HashMap<>();
+        settings.types().forEach(type ->
+                classes.put(type.name(), new ClassRules(type.effect() == Effect.KEYED, type.serial())));
+        return classes;
+    }
+
+    /** An address as {@code host:port}. */
+    static InetSocketAddress address(String key, String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port >= 0 && port <= 65_535) {
+                return new InetSocketAddress(text.substring(0, colon), port);
+            }
+        } catch (NumberFormatException e) {
+            // Told below, with all other addresses that can't be used.
+        }
+        throw new ConfigurationException(key, "is no address of the form host:port: " + text);
+    }
+
+    private static String text(Map<String, Object> root, String key) {
+        if (root.get(key) instanceof String text) {
+            return text;
+        }
+        throw new ConfigurationException(key, "is missing or is not text");
+    }
+
+    private static Map<String, Object> object(Map<String, Object> root, String key) {
+        try {
+            return Json.asObject(root.get(key), key);
+        } catch (ProtocolException e) {
+            throw new ConfigurationException(key, "is missing or is not an object");
+        }
+    }
+
+    private static long whole(Map<String, Object> object, String key, String member, long absent) {
+        Object value = object.get(member);
+        if (value == null) {
+            return absent;
+        }
+        if (value instanceof Number number && number.doubleValue() >= 0
+                && number.doubleValue() == Math.rint(number.doubleValue())) {
+            return number.longValue();
+        }
+        throw new ConfigurationException(key, "is not a whole number of at least 0");
+    }
+
+    private static long seed(Object value) {
+        try {
+            return Long.parseUnsignedLong(String.valueOf(value), 16);
+        } catch (NumberFormatException e) {
+            throw new ConfigurationException("seed", "is missing or is not up to 16 hex digits");
+        }
+    }
+
+    private static List<FeedEvent> events(Map<String, Object> held) {
+        List<FeedEvent> events = new ArrayList<>();
+        try {
+            for (Object event : Json.asList(held.getOrDefault("events", List.of()), "events")) {
+                events.add(FeedEvent.of(event));
+            }
+        } catch (ProtocolException | ClassCastException e) {
+            throw new ConfigurationException("known.events", e.getMessage());
+        }
+        return events;
+    }
+
+    private static Settings settings(Fields fields) {
+        try {
+            return new SettingsReader(fields).read();
+        } catch (WireException | IllegalArgumentException e) {
+            throw new ConfigurationException("settings", e.getMessage());
+        }
+    }
+
+    /** Nested values by their paths, as the simulator's first message words them. */
+    private static Map<String, String> flat(Map<String, Object> settings) {
+        Map<String, String> flat = new LinkedHashMap<>();
+        settings.forEach((name, value) -> flatten(name, value, flat));
+        return flat;
+    }
+
+    private static void flatten(String path, Object value, Map<String, String> flat) {
+        if (value instanceof Map<?, ?> object) {
+            object.forEach((name, member) -> flatten(path + "." + name, member, flat));
+        } else if (value instanceof List<?> list && list.stream().anyMatch(Map.class::isInstance)) {
+            flat.put(path + ".count", Integer.toString(list.size()));
+            for (int i = 0; i < list.size(); i++) {
+                flatten(path + "." + i, list.get(i), flat);
+            }
+        } else if (value instanceof List<?> list) {
+            StringJoiner joined = new StringJoiner(",");
+            list.forEach(item -> joined.add(word(item)));
+            flat.put(path, joined.toString());
+        } else if (value != null) {
+            flat.put(path, word(value));
+        }
+    }
+
+    private static String word(Object value) {
+        return value instanceof java.math.BigDecimal number ? number.toPlainString() : String.valueOf(value);
+    }
+
+    private static Limits limits(Map<String, Object> root, Fields fields) {
+        Map<String, Object> told = root.containsKey("limits") ? object(root, "limits") : Map.of();
+        int sockets = (int) whole(told, "limits.sockets", "sockets", SOCKETS_DEFAULT);
+        if (sockets < SOCKETS_LEAST) {
+            throw new ConfigurationException("limits.sockets", "is less than " + SOCKETS_LEAST);
+        }
+        long connect = fields.whole("permissions.connectTimeoutNs", 250_000_000) / NANOS_PER_MICRO;
+        long idleClose = fields.whole("permissions.idleCloseNs", 30_000_000_000L) / NANOS_PER_MICRO;
+        long drainGrace = fields.whole("safety.drainGraceNs", 1_000_000_000) / NANOS_PER_MICRO;
+        return new Limits(4096, 256, 512 * 1024, 160 * 1024, sockets / 3 + sockets / 16, 32,
+                (int) Math.min(4096, fields.whole("permissions.maxOpen", 4096)), idleClose * 2 / 3,
+                Clock.ofMillis(20_000), 262_144, 65_536, 48_000, 8,
+                (int) fields.whole("permissions.streamsPerConn", 100), connect, Clock.ofMillis(200),
+                Clock.ofMillis(3_500), 4 << 20, Clock.ofMillis(20), drainGrace / 2, Clock.ofMillis(1_000),
+                Clock.ofMillis(1_000), Clock.ofMillis(1_000));
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnline/program/Main.java
@@ -0,0 +1,37 @@
+package cairnline.program;
+
+import cairnline.simhost.SimHost;
+import cairnline.simhost.WireException;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+
+/** Entry point: {@code serve} is the workload manager, {@code simhost} the same decisions on the simulator's wire. */
+public final class Main {
+    private static final int BUFFER = 1 << 16;
+    private static final int WRONG_USE = 2;
+
+    private Main() { }
+
+    /** Exits with 2 on wrong usage or configuration and 1 on a failure. */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        try {
+            switch (args.length == 0 ? "" : args[0]) {
+                case "serve" -> new Server(Configuration.read(System.getenv())).run();
+                case "simhost" -> SimHost.serve(new BufferedReader(
+                        new InputStreamReader(System.in, StandardCharsets.UTF_8), BUFFER), System.out);
+                default -> leave(WRONG_USE, "usage: java -jar cairnline.jar serve | simhost");
+            }
+        } catch (ConfigurationException e) {
+            leave(WRONG_USE, e.getMessage());
+        } catch (WireException e) {
+            leave(1, e.getMessage());
+        }
+    }
+
+    private static void leave(int code, String message) {
+        System.err.println("cairnline: " + message);
+        System.exit(code);
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnline/program/Server.java
@@ -0,0 +1,65 @@
+package cairnline.program;
+
+import cairnline.routing.Clock;
+import cairnline.routing.Core;
+import cairnline.routing.EngineList;
+import cairnline.routing.Limits;
+import cairnline.transport.ClientFront;
+import cairnline.transport.FeedClient;
+import cairnline.transport.Listener;
+import cairnline.transport.RespLink;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+
+/** The workload manager: its parts wired, its start and its end. */
+final class Server {
+    private final Limits limits;
+    private final Core core;
+    private final EngineList list;
+    private final FeedClient feed;
+    private final ClientFront clients;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    Server(Configuration configuration) throws IOException {
+        Clock clock = new Clock();
+        limits = configuration.limits();
+        core = new Core(configuration.settings(), configuration.seed(), limits, clock, Server::log,
+                (engine, owner) -> new RespLink(Configuration.address("dial", engine.address()), owner, limits, clock));
+        list = new EngineList(core, limits, clock);
+        feed = new FeedClient(configuration.feed(), list, limits, Server::log);
+        clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits), core,
+                configuration.classes(), limits, clock);
+        configuration.known().forEach(event ->
+                list.changed(event.number(), event.whole(), FeedClient.entries(event)));
+        list.changed(configuration.knownLast(), false, null);
+    }
+
+    /** Serves until the process is told to end. */
+    void run() throws InterruptedException {
+        // A shutdown hook, since SIGTERM must end in exit code 0 with all that was taken answered.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
+        core.start();
+        list.start();
+        clients.start();
+        feed.start();
+        stopped.await();
+    }
+
+    private void stop() {
+        CountDownLatch answered = new CountDownLatch(1);
+        clients.stopping();
+        core.stopping(answered::countDown);
+        try {
+            answered.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        clients.flush();
+        stopped.countDown();
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static void log(String line) {
+        System.err.println("cairnline: " + line);
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnline/routing/Core.java
@@ -0,0 +1,438 @@
+package cairnline.routing;
+
+import cairnline.control.Control;
+import cairnline.control.ControlApi;
+import cairnline.control.ControlApi.Actions;
+import cairnline.control.ControlApi.End;
+import cairnline.control.ControlApi.Listed;
+import cairnline.control.ControlApi.Load;
+import cairnline.control.ControlApi.Note;
+import cairnline.control.ControlApi.NoteKind;
+import cairnline.control.ControlApi.Outcome;
+import cairnline.control.ControlApi.Settings;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.BiFunction;
+
+/**
+ * The module's actor: owns the open requests, their attempts and all timers, tells the module what happens and
+ * carries out what it asks. It knows no wire. What other threads call only leaves a letter.
+ */
+public final class Core implements Actor.Turns, Actions {
+    private final Limits limits;
+    private final Settings settings;
+    private final long seed;
+    private final Consumer<String> log;
+    private final BiFunction<ListedEngine, Core, EngineLink> links;
+    private final Actor actor;
+    private final Timers timers = new Timers();
+    /** What the module is told once it has returned: it may not be called from within its own actions. */
+    private final ArrayDeque<Runnable> afterwards = new ArrayDeque<>();
+    private final Map<String, OpenRequest> open = new HashMap<>();
+    private final Map<Request, OpenRequest> byRequest = new IdentityHashMap<>();
+    private final Map<Attempt, Out> out = new IdentityHashMap<>();
+    private final Map<String, Engine> engines = new HashMap<>();
+    private ControlApi control;
+    private long now;
+    private long taken;
+    private boolean stopping;
+    private Runnable whenDone;
+    private volatile boolean ready;
+
+    /** A core that does not run yet; {@code links} opens the way to an engine. */
+    public Core(Settings settings, long seed, Limits limits, Clock clock, Consumer<String> log,
+                BiFunction<ListedEngine, Core, EngineLink> links) {
+        this.settings = settings;
+        this.seed = seed;
+        this.limits = limits;
+        this.log = log;
+        this.links = links;
+        this.actor = new Actor("core", limits.coreMailbox(), limits.coreMailbox(), limits.coreStack(), clock, this);
+    }
+
+    /** An engine that is listed, or gone with attempts still out. */
+    private static final class Engine {
+        ListedEngine listed;
+        final EngineLink link;
+        int attemptsOut;
+
+        Engine(ListedEngine listed, EngineLink link) {
+            this.listed = listed;
+            this.link = link;
+        }
+    }
+
+    /** A request with its attempts; kept after its answer until the last attempt is over. */
+    private static final class OpenRequest {
+        final String id;
+        final Request request;
+        final long deadline;
+        final List<Attempt> attempts = new ArrayList<>(2);
+        final List<Attempt> out = new ArrayList<>(2);
+        int priority = 1;
+        boolean answered;
+        boolean late;
+
+        OpenRequest(String id, Request request, long deadline) {
+            this.id = id;
+            this.request = request;
+            this.deadline = deadline;
+        }
+    }
+
+    /** An attempt that is out: whose it is, and where; null if its engine is not listed. */
+    private record Out(OpenRequest owner, Engine engine) { }
+
+    // ---- For other threads ----
+
+    /** Starts the module and its thread. */
+    public void start() {
+        actor.start();
+    }
+
+    /** Whether the module is up and has had a list. */
+    public boolean ready() {
+        return ready;
+    }
+
+    /** Takes a request; its front gets one answer unless it abandons it. */
+    public void take(Request request) {
+        actor.put(() -> taken(request));
+    }
+
+    /** Nobody waits for this request any more. */
+    public void abandon(Request request) {
+        actor.put(() -> abandoned(request));
+    }
+
+    /** An attempt is over. */
+    public void ended(Attempt attempt, Attempt.Result result) {
+        actor.put(() -> end(attempt, result));
+    }
+
+    /** An attempt that is not over, with word of it. */
+    public void noted(Attempt attempt, NoteKind kind, double amount) {
+        actor.put(() -> {
+            Out it = out.get(attempt);
+            if (it != null) {
+                tell(() -> control.note(moduleNow(),
+                        new Note(it.owner.id, attempt.number(), attempt.engine(), kind, amount)));
+            }
+        });
+    }
+
+    /** The list has changed. */
+    public void listed(boolean whole, List<ListedEngine> entries) {
+        actor.put(() -> list(whole, entries));
+    }
+
+    /** From now on not ready; {@code done} runs when all that was taken is answered, not before {@code earliest}. */
+    public void stopping(Runnable done) {
+        actor.put(() -> {
+            stopping = true;
+            ready = false;
+            timers.at(now + limits.stopTaking(), () -> whenDone = done);
+        });
+    }
+
+    // ---- The loop ----
+
+    @Override
+    public void begin(long time) {
+        now = time;
+        if (control == null) {
+            control = new Control(settings, seed, moduleNow(), this);
+        }
+    }
+
+    @Override
+    public long end(long time) {
+        Runnable task = timers.due(now);
+        while (task != null) {
+            task.run();
+            task = timers.due(now);
+        }
+        if (whenDone != null && byRequest.isEmpty()) {
+            whenDone.run();
+            whenDone = null;
+        }
+        return timers.next();
+    }
+
+    private long moduleNow() {
+        return Clock.toModule(now);
+    }
+
+    /** One call to the module, and then what its actions led to. A fault in it must not end the program. */
+    private void tell(Runnable call) {
+        afterwards.addLast(call);
+        if (afterwards.size() > 1) {
+            return;
+        }
+        while (!afterwards.isEmpty()) {
+            try {
+                afterwards.peekFirst().run();
+            } catch (RuntimeException e) {
+                log.accept("the module failed: " + e + " at " + Arrays.toString(e.getStackTrace()));
+            }
+            afterwards.removeFirst();
+        }
+    }
+
+    // ---- Requests ----
+
+    private void taken(Request r) {
+        long deadline = r.takenAt() + r.patience() - limits.answerMargin();
+        if (open.size() >= limits.openRequests()) {
+            r.front().answer(r, Answer.refused("too many open requests", limits.retryAfter()));
+            return;
+        }
+        OpenRequest o = new OpenRequest("q" + taken++, r, deadline);
+        open.put(o.id, o);
+        byRequest.put(r, o);
+        timers.at(deadline + limits.answerMargin() / 2, () -> overdue(o));
+        boolean ordered = r.order() != null;
+        tell(() -> control.request(moduleNow(), new ControlApi.Request(o.id, r.type(), "", ordered,
+                ordered ? r.order() : 0, Clock.toModule(Math.max(1, deadline - now)), Clock.toModule(r.work()),
+                r.memory(), r.tables(), false)));
+    }
+
+    private void abandoned(Request r) {
+        OpenRequest o = byRequest.get(r);
+        if (o != null) {
+            close(o);
+            tell(() -> control.abandoned(moduleNow(), o.id));
+        }
+    }
+
+    /** Guards the rule of one answer in time, should the module have missed it. */
+    private void overdue(OpenRequest o) {
+        if (!o.answered) {
+            answer(o, Answer.failed("no answer in time", true));
+            tell(() -> control.abandoned(moduleNow(), o.id));
+        }
+    }
+
+    private void answer(OpenRequest o, Answer answer) {
+        if (!o.answered) {
+            close(o);
+            o.request.front().answer(o.request, answer);
+        }
+    }
+
+    private void close(OpenRequest o) {
+        o.answered = true;
+        byRequest.remove(o.request);
+        o.out.forEach(Attempt::unwanted);
+        forgetIfOver(o);
+    }
+
+    private void forgetIfOver(OpenRequest o) {
+        if (o.answered && o.out.isEmpty()) {
+            open.remove(o.id);
+        }
+    }
+
+    // ---- Attempts ----
+
+    /** The first end of an attempt counts; one that comes later, from its engine or its timer, finds nothing. */
+    private void end(Attempt a, Attempt.Result result) {
+        Out ended = out.remove(a);
+        if (ended == null) {
+            return;
+        }
+        OpenRequest o = ended.owner;
+        o.out.remove(a);
+        a.unwanted();
+        if (ended.engine != null) {
+            ended.engine.attemptsOut--;
+            closeIfGone(ended.engine);
+        }
+        if (result.end() == End.OK) {
+            answer(o, Answer.served(result.rows()));
+        }
+        o.late |= result.end() == End.TIMEOUT;
+        boolean last = o.answered;
+        forgetIfOver(o);
+        tell(() -> control.outcome(moduleNow(), new Outcome(o.id, a.number(), a.engine(), result.end(),
+                Clock.toModule(now - a.sentAt()), last, Clock.toModule(result.work()), result.memory(), Load.NONE)));
+    }
+
+    @Override
+    public void send(String id, String engineId, long timeout) {
+        OpenRequest o = open.get(id);
+        Engine engine = engines.get(engineId);
+        if (o == null) {
+            return;
+        }
+        long endsAt = timeout > 0 ? Math.min(o.deadline, now + Clock.fromModule(timeout)) : o.deadline;
+        Attempt a = new Attempt(o.request, engineId, o.attempts.size(), now, endsAt, o.priority);
+        o.attempts.add(a);
+        o.out.add(a);
+        if (engine != null) {
+            engine.attemptsOut++;
+        }
+        out.put(a, new Out(o, engine));
+        if (o.answered || engine == null || endsAt <= now) {
+            timers.at(now, () -> end(a, Attempt.Result.of(End.NOT_SENT)));
+        } else if (engine.link.send(a)) {
+            timers.at(endsAt, () -> end(a, Attempt.Result.of(End.TIMEOUT)));
+        } else {
+            timers.at(now, () -> end(a, Attempt.Result.of(End.FULL)));
+        }
+    }
+
+    @Override
+    public void cancel(String id, int number) {
+        OpenRequest o = open.get(id);
+        if (o == null || number >= o.attempts.size() || !o.out.contains(o.attempts.get(number))) {
+            return;
+        }
+        Attempt a = o.attempts.get(number);
+        if (out.get(a).engine != null) {
+            out.get(a).engine.link.cancel(a);
+        }
+        timers.at(now, () -> end(a, Attempt.Result.of(End.CANCELLED)));
+    }
+
+    @Override
+    public void terms(String id, double memory, int priority) {
+        OpenRequest o = open.get(id);
+        if (o == null || o.priority == priority) {
+            return;
+        }
+        o.priority = priority;
+        for (Attempt a : o.out) {
+            if (out.get(a).engine != null) {
+                out.get(a).engine.link.prioritise(a, priority);
+            }
+        }
+    }
+
+    @Override
+    public void refuse(String id, long retryAfter) {
+        OpenRequest o = open.get(id);
+        if (o != null) {
+            long wait = retryAfter > 0 ? Clock.fromModule(retryAfter) : limits.retryAfter();
+            answer(o, Answer.refused("refused: it would not be served in time", wait));
+        }
+    }
+
+    @Override
+    public void fail(String id) {
+        OpenRequest o = open.get(id);
+        if (o != null) {
+            answer(o, Answer.failed(o.late ? "no answer in time" : "the engines failed it", o.late));
+        }
+    }
+
+    @Override
+    public void wake(long delay, long handle) {
+        timers.at(now + Clock.fromModule(delay), () -> tell(() -> control.timer(moduleNow(), handle)));
+    }
+
+    @Override
+    public void probe(String engineId) {
+        Engine engine = engines.get(engineId);
+        if (engine == null) {
+            return;
+        }
+        long askedAt = now;
+        boolean left = engine.link.probe(report -> actor.put(() -> probed(engineId, askedAt, report)));
+        if (!left) {
+            timers.at(now, () -> probed(engineId, askedAt, null));
+        }
+    }
+
+    private void probed(String engineId, long askedAt, Map<String, Double> report) {
+        tell(() -> control.probed(moduleNow(), engineId, report != null, Clock.toModule(now - askedAt),
+                load(report)));
+    }
+
+    private static Load load(Map<String, Double> report) {
+        if (report == null) {
+            return Load.NONE;
+        }
+        return new Load(report.getOrDefault("util", Double.NaN), Double.NaN,
+                report.getOrDefault("inflight", Double.NaN), report.getOrDefault("x0", Double.NaN),
+                report.getOrDefault("x1", Double.NaN));
+    }
+
+    @Override
+    public void tell(byte[] message) {
+        // Workload managers share nothing on this wire, and the settings forbid it to the module.
+    }
+
+    @Override
+    public void follow() {
+        // The control feed is followed from the start.
+    }
+
+    @Override
+    public void log(String line) {
+        log.accept(line);
+    }
+
+    // ---- Engines ----
+
+    private void list(boolean whole, List<ListedEngine> entries) {
+        if (whole) {
+            List<String> named = entries.stream().map(ListedEngine::id).toList();
+            for (Engine engine : List.copyOf(engines.values())) {
+                if (!named.contains(engine.listed.id())) {
+                    become(engine, gone(engine.listed));
+                }
+            }
+        }
+        for (ListedEngine entry : entries) {
+            Engine known = engines.get(entry.id());
+            if (known != null && !known.listed.address().equals(entry.address())) {
+                // The same name at another address is reached by another way; the old one ends.
+                engines.remove(entry.id());
+                known.link.close();
+                known = null;
+            }
+            if (known != null) {
+                become(known, entry);
+            } else if (entry.listed() != Listed.GONE) {
+                Engine engine = new Engine(entry, links.apply(entry, this));
+                engines.put(entry.id(), engine);
+                become(engine, entry);
+            }
+        }
+        tell(() -> control.engines(moduleNow(), whole, entries.stream().map(Clock::toModule).toList()));
+        ready = !stopping;
+    }
+
+    private static ListedEngine gone(ListedEngine e) {
+        return new ListedEngine(e.id(), e.address(), Listed.GONE, e.zone(), e.kind(), e.cell(), e.size(),
+                e.startedAt());
+    }
+
+    private void become(Engine engine, ListedEngine entry) {
+        boolean was = engine.listed.listed() == Listed.READY;
+        if (entry.startedAt() > engine.listed.startedAt()) {
+            engine.link.renew();
+        }
+        engine.listed = entry;
+        if (entry.listed() == Listed.READY) {
+            engine.link.lastSend(Long.MAX_VALUE);
+        } else if (was) {
+            engine.link.lastSend(now + limits.drainGrace());
+        }
+        closeIfGone(engine);
+    }
+
+    private void closeIfGone(Engine engine) {
+        if (engine.listed.listed() == Listed.GONE && engine.attemptsOut == 0
+                && engines.remove(engine.listed.id(), engine)) {
+            engine.link.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnline/routing/EngineList.java
@@ -0,0 +1,47 @@
+package cairnline.routing;
+
+import java.util.List;
+
+/** The list's actor: takes numbered changes in order, once each, and hands them to the core. */
+public final class EngineList implements Actor.Turns {
+    private final Core core;
+    private final Actor actor;
+    private volatile long last;
+
+    /** A list without engines. */
+    public EngineList(Core core, Limits limits, Clock clock) {
+        this.core = core;
+        this.actor = new Actor("list", limits.peerMailbox(), limits.peerMailbox(), limits.coreStack(), clock, this);
+    }
+
+    /** Starts its thread. */
+    public void start() {
+        actor.start();
+    }
+
+    /** The number of the last change that it has. */
+    public long last() {
+        return last;
+    }
+
+    /** A change; {@code entries} is null where an event changed nothing. Waits for room. */
+    public void changed(long number, boolean whole, List<ListedEngine> entries) {
+        actor.put(() -> {
+            // After a reconnect the feed may tell again what came just before.
+            if (number > last) {
+                last = number;
+                if (entries != null) {
+                    core.listed(whole, entries);
+                }
+            }
+        });
+    }
+
+    @Override
+    public void begin(long now) { }
+
+    @Override
+    public long end(long now) {
+        return Long.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnline/routing/Limits.java
@@ -0,0 +1,34 @@
+package cairnline.routing;
+
+/**
+ * Every size, count and time of the program, filled at start. Sizes are bytes, times microseconds.
+ *
+ * @param coreMailbox letters that the core holds; readers wait when it is full
+ * @param peerMailbox letters that a peer holds; a peer that lets it fill is closed, or full
+ * @param coreStack stack of the core and the list
+ * @param peerStack stack of a peer's threads
+ * @param clients client connections at once
+ * @param openPerClient open requests on one client connection
+ * @param openRequests open requests in all
+ * @param idle after this an idle connection is closed from this side, before an engine does it
+ * @param writeStall a peer that takes nothing for so long is closed
+ * @param frame longest client frame
+ * @param part largest part of an engine's answer
+ * @param result largest result
+ * @param engineConnections connections to one engine
+ * @param engineStreams open requests on one connection to an engine
+ * @param connect a connection that is not up by then has failed
+ * @param feedPause between attempts to reach the control feed
+ * @param feedSilence after this a silent control feed is left and reached anew
+ * @param feedLine longest line of the control feed
+ * @param answerMargin answers go out so long before the client gives up
+ * @param drainGrace nothing leaves for an engine so long after it was told to drain
+ * @param stopTaking after SIGTERM requests are taken for so long
+ * @param flush the last answers have so long to leave
+ * @param retryAfter advice to a refused client, where the wire has room for it and the module gives none
+ */
+public record Limits(int coreMailbox, int peerMailbox, int coreStack, int peerStack, int clients, int openPerClient,
+                     int openRequests, long idle, long writeStall, int frame, int part, int result,
+                     int engineConnections, int engineStreams, long connect, long feedPause,
+                     long feedSilence, int feedLine, long answerMargin, long drainGrace, long stopTaking, long flush,
+                     long retryAfter) { }
--- /dev/null
+++ b/src/main/java/cairnline/routing/Request.java
@@ -0,0 +1,10 @@
+package cairnline.routing;
+
+/**
+ * A client's request as any front takes it. {@code id} and {@code repeatKey} pass to engines unchanged; {@code order}
+ * is the key whose requests go one at a time, null without; {@code takenAt} is when its last byte was read and
+ * {@code patience} how long the client waits from then, both in microseconds; {@code work} is the estimate in
+ * microseconds on one core, 0 if unknown; {@code tables} is -1 if unknown.
+ */
+public record Request(String id, String type, byte[] statement, String repeatKey, Long order, long takenAt, long patience,
+                      long work, double memory, int tables, Front front) { }
--- a/src/main/java/cairnline/simhost/Fields.java
+++ b/src/main/java/cairnline/simhost/Fields.java
@@ -3,13 +3,21 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** The name=value parts of one wire line; used anew for each line. */
-final class Fields {
+/** The name=value parts of one wire line; used anew for each line, or a configuration's values. */
+public final class Fields {
     private final Map<String, String> values = new HashMap<>();
     private String line = "";
 
+    /** The values of a configuration, by their paths. */
+    public static Fields of(Map<String, String> values) {
+        Fields fields = new Fields();
+        fields.values.putAll(values);
+        fields.line = "settings";
+        return fields;
+    }
+
     /** Splits a line and returns its first part. */
-    String read(String text) {
+    public String read(String text) {
         line = text;
         values.clear();
         int end = text.indexOf(' ');
@@ -46,7 +54,8 @@
         return parse(name, text(name));
     }
 
-    long whole(String name, long absent) {
+    /** A whole number, or what stands for its absence. */
+    public long whole(String name, long absent) {
         String value = values.get(name);
         return value == null ? absent : parse(name, value);
     }
--- a/src/main/java/cairnline/simhost/Host.java
+++ b/src/main/java/cairnline/simhost/Host.java
@@ -1,15 +1,15 @@
 package cairnline.simhost;
 
-import cairnline.Control;
-import cairnline.ControlApi;
-import cairnline.ControlApi.End;
-import cairnline.ControlApi.Engine;
-import cairnline.ControlApi.Listed;
-import cairnline.ControlApi.Load;
-import cairnline.ControlApi.Note;
-import cairnline.ControlApi.NoteKind;
-import cairnline.ControlApi.Outcome;
-import cairnline.ControlApi.Request;
+import cairnline.control.Control;
+import cairnline.control.ControlApi;
+import cairnline.control.ControlApi.End;
+import cairnline.control.ControlApi.Engine;
+import cairnline.control.ControlApi.Listed;
+import cairnline.control.ControlApi.Load;
+import cairnline.control.ControlApi.Note;
+import cairnline.control.ControlApi.NoteKind;
+import cairnline.control.ControlApi.Outcome;
+import cairnline.control.ControlApi.Request;
 
 import java.io.BufferedReader;
 import java.io.IOException;
--- a/src/main/java/cairnline/simhost/Replies.java
+++ b/src/main/java/cairnline/simhost/Replies.java
@@ -1,6 +1,6 @@
 package cairnline.simhost;
 
-import cairnline.ControlApi.Actions;
+import cairnline.control.ControlApi.Actions;
 
 import java.util.Base64;
 
--- a/src/main/java/cairnline/simhost/SettingsReader.java
+++ b/src/main/java/cairnline/simhost/SettingsReader.java
@@ -1,13 +1,13 @@
 package cairnline.simhost;
 
-import cairnline.ControlApi.Effect;
-import cairnline.ControlApi.Kind;
-import cairnline.ControlApi.Permissions;
-import cairnline.ControlApi.Rules;
-import cairnline.ControlApi.Scope;
-import cairnline.ControlApi.Settings;
-import cairnline.ControlApi.Tenant;
-import cairnline.ControlApi.Type;
+import cairnline.control.ControlApi.Effect;
+import cairnline.control.ControlApi.Kind;
+import cairnline.control.ControlApi.Permissions;
+import cairnline.control.ControlApi.Rules;
+import cairnline.control.ControlApi.Scope;
+import cairnline.control.ControlApi.Settings;
+import cairnline.control.ControlApi.Tenant;
+import cairnline.control.ControlApi.Type;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -15,14 +15,16 @@
 import java.util.Map;
 
 /** Translates the wire's settings into the module's terms; a key that is absent gets its neutral meaning. */
-final class SettingsReader {
+public final class SettingsReader {
     private final Fields in;
 
-    SettingsReader(Fields in) {
+    /** Reads from these values. */
+    public SettingsReader(Fields in) {
         this.in = in;
     }
 
-    Settings read() {
+    /** All that the module is told at start. */
+    public Settings read() {
         return new Settings((int) in.whole("selfIndex", 0), (int) in.whole("groupSize", 1), in.text("locality", ""),
                 types(), tenants(), kinds(), permissions(), rules(), in.number("overShareWorth", 1),
                 in.number("specifics.grantCap", 1), in.text("discovery", "push").equals("ask"),
--- a/src/main/java/cairnline/simhost/WireException.java
+++ b/src/main/java/cairnline/simhost/WireException.java
@@ -1,7 +1,7 @@
 package cairnline.simhost;
 
 /** Input that does not follow the wire. */
-final class WireException extends RuntimeException {
+public final class WireException extends RuntimeException {
     private static final long serialVersionUID = 1L;
     private static final int SHOWN = 200;
 
--- /dev/null
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -0,0 +1,175 @@
+package cairnline.transport;
+
+import cairnline.protocol.ClientFrames;
+import cairnline.protocol.ClientFrames.Content;
+import cairnline.protocol.ClientFrames.Frame;
+import cairnline.protocol.ClientRequest;
+import cairnline.protocol.ProtocolException;
+import cairnline.routing.Answer;
+import cairnline.routing.Clock;
+import cairnline.routing.Request;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** One client connection of the platform's protocol. */
+final class ClientSession implements Listener.Session, Peer.Handler {
+    private final ClientFront front;
+    private final Peer peer;
+    private final ClientFrames frames;
+    private final Map<Long, Request> open = new ConcurrentHashMap<>();
+    private Runnable whenEnded;
+    private long lastStream;
+    /** After an error in the framing nothing that follows can be read. */
+    private boolean broken;
+
+    ClientSession(Socket socket, ClientFront front) {
+        this.front = front;
+        this.peer = new Peer("client", socket, front.limits(), front.clock());
+        this.frames = new ClientFrames(front.limits().frame());
+    }
+
+    @Override
+    public void start(Runnable ended) {
+        whenEnded = ended;
+        peer.start(this);
+        if (front.isStopping()) {
+            stopping();
+        }
+    }
+
+    @Override
+    public void stopping() {
+        peer.send(ClientFrames.noMoreRequests());
+    }
+
+    @Override
+    public void flush(long most) {
+        peer.flush(most);
+    }
+
+    @Override
+    public void tooMany() {
+        whenEnded = () -> { };
+        broken = true;
+        peer.send(error("too many connections"));
+        peer.finish();
+        peer.start(this);
+    }
+
+    @Override
+    public void read(byte[] bytes, int count) {
+        long now = front.clock().micros();
+        if (broken) {
+            return;
+        }
+        frames.feed(bytes, count);
+        try {
+            for (Frame frame = frames.next(); frame != null; frame = frames.next()) {
+                take(frame, now);
+            }
+        } catch (ProtocolException e) {
+            broken = true;
+            leave();
+            peer.send(error(e.getMessage()));
+            peer.finish();
+        }
+    }
+
+    @Override
+    public boolean quiet() {
+        return !open.isEmpty();
+    }
+
+    @Override
+    public byte[] ended(boolean wasUp) {
+        leave();
+        whenEnded.run();
+        return frames.partial() && !broken ? error("the connection ended inside a frame") : null;
+    }
+
+    private void leave() {
+        for (Long stream : open.keySet()) {
+            Request request = open.remove(stream);
+            if (request != null) {
+                front.core().abandon(request);
+            }
+        }
+    }
+
+    private void take(Frame frame, long now) {
+        switch (frame.type()) {
+            case ClientFrames.REQUEST -> request(frame, now);
+            case ClientFrames.WITHDRAWN -> {
+                Request request = open.remove(frame.stream());
+                if (request != null) {
+                    front.core().abandon(request);
+                }
+            }
+            case ClientFrames.READY_QUESTION ->
+                    peer.send(ClientFrames.ready(frame.stream(), front.core().ready()));
+            default -> throw new ProtocolException("type " + frame.type() + " is not a client's");
+        }
+    }
+
+    private void request(Frame frame, long now) {
+        long stream = frame.stream();
+        if (stream <= lastStream) {
+            // An answer on that stream could be taken for the answer to its first request.
+            peer.send(error("stream " + stream + " is not new on this connection"));
+            return;
+        }
+        lastStream = stream;
+        if (open.size() >= front.limits().openPerClient()) {
+            peer.send(say(stream, ClientFrames.CODE_REFUSED,
+                    "over " + front.limits().openPerClient() + " open requests"));
+            return;
+        }
+        try {
+            Content content = ClientFrames.content(frame.payload());
+            Request request = request(ClientRequest.read(content), stream, now);
+            open.put(stream, request);
+            front.core().take(request);
+        } catch (ProtocolException e) {
+            peer.send(say(stream, ClientFrames.CODE_FAILED, e.getMessage()));
+        }
+    }
+
+    private Request request(ClientRequest r, long stream, long now) {
+        ClientFront.ClassRules rules = front.classes().get(r.type());
+        if (rules == null) {
+            throw new ProtocolException("op names no class: " + r.type());
+        }
+        if (rules.keyed() && r.repeatKey() == null) {
+            throw new ProtocolException("dedupe is missing for class " + r.type());
+        }
+        if (rules.ordered() && r.order() == null) {
+            throw new ProtocolException("row is missing for class " + r.type());
+        }
+        return new Request(r.id(), r.type(), r.statement(), rules.keyed() ? r.repeatKey() : null,
+                rules.ordered() ? r.order() : null, now, Clock.ofMillis(r.ttlMs()), r.workMicros(), r.memory(),
+                r.tables(), (request, answer) -> answered(stream, answer));
+    }
+
+    /** On the core's thread. */
+    private void answered(long stream, Answer answer) {
+        if (open.remove(stream) == null) {
+            return;
+        }
+        int code = switch (answer.kind()) {
+            case SERVED -> ClientFrames.CODE_SERVED;
+            case REFUSED -> ClientFrames.CODE_REFUSED;
+            case FAILED -> ClientFrames.CODE_FAILED;
+        };
+        peer.send(ClientFrames.answer(stream, code, Map.of(), answer.rows()));
+    }
+
+    private static byte[] error(String problem) {
+        return say(0, ClientFrames.CODE_FAILED, problem);
+    }
+
+    private static byte[] say(long stream, int code, String problem) {
+        return ClientFrames.answer(stream, code, Map.of(), problem.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnline/transport/Listener.java
@@ -0,0 +1,90 @@
+package cairnline.transport;
+
+import cairnline.routing.Limits;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+
+/** Accepts connections at one address, up to a cap, and keeps those that are open. */
+public final class Listener {
+    private static final int BACKLOG = 512;
+    private static final long PAUSE = 10_000;
+
+    private final ServerSocket server;
+    private final Limits limits;
+    private final int most;
+    private final Set<Session> sessions = ConcurrentHashMap.newKeySet();
+
+    /** One accepted connection. */
+    interface Session {
+        /** Starts to serve; {@code ended} must be called once it is over. */
+        void start(Runnable ended);
+
+        /** The program is stopping: asks the client to ask no more. */
+        void stopping();
+
+        /** Waits until what has been answered is written, this many microseconds at most. */
+        void flush(long most);
+
+        /** Turns the client away: too many are here. */
+        void tooMany();
+    }
+
+    /** Listens; fails if the address can't be had. */
+    public Listener(InetSocketAddress address, int most, Limits limits) throws IOException {
+        this.limits = limits;
+        this.most = most;
+        server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(address, BACKLOG);
+    }
+
+    /** The port listened on. */
+    public int port() {
+        return server.getLocalPort();
+    }
+
+    void start(String name, Function<Socket, Session> open) {
+        Threads.start(name, limits.coreStack(), () -> accept(open));
+    }
+
+    private void accept(Function<Socket, Session> open) {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                socket.setTcpNoDelay(true);
+                Session session = open.apply(socket);
+                if (sessions.size() >= most) {
+                    session.tooMany();
+                } else {
+                    sessions.add(session);
+                    session.start(() -> sessions.remove(session));
+                }
+            } catch (IOException e) {
+                // Out of descriptors, or a client that left at once: neither may end the program.
+                Threads.pause(PAUSE);
+            }
+        }
+    }
+
+    Set<Session> sessions() {
+        return sessions;
+    }
+
+    void stopping() {
+        sessions.forEach(Session::stopping);
+    }
+
+    void flush(long most) {
+        sessions.forEach(session -> session.flush(most / Math.max(1, sessions.size())));
+    }
+
+    /** Stops listening. */
+    public void close() {
+        Threads.close(server);
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -0,0 +1,275 @@
+package cairnline.transport;
+
+import cairnline.control.ControlApi.End;
+import cairnline.control.ControlApi.NoteKind;
+import cairnline.protocol.EngineMessage;
+import cairnline.protocol.ProtocolException;
+import cairnline.protocol.Resp;
+import cairnline.routing.Attempt;
+import cairnline.routing.Clock;
+import cairnline.routing.Core;
+import cairnline.routing.Limits;
+import cairnline.routing.Request;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * One connection to an engine. Its maps are shared by the core's thread, the writer and the reader, under its lock;
+ * the core is never called under that lock, since its mailbox may be full.
+ */
+final class RespConnection implements Peer.Handler {
+    private static final int ANSWER_PARTS = 8;
+    private static final String PROBE_TAG = "probe-";
+
+    private final RespLink link;
+    private final Core core;
+    private final Limits limits;
+    private final Peer peer;
+    private final Resp answers;
+    private final Map<String, Exchange> exchanges = new HashMap<>();
+    private final Map<String, Consumer<Map<String, Double>>> probes = new HashMap<>();
+    private long probeCount;
+    private boolean over;
+
+    RespConnection(RespLink link, Core core, Limits limits, Clock clock) {
+        this.link = link;
+        this.core = core;
+        this.limits = limits;
+        this.peer = new Peer("engine", new Socket(), limits, clock);
+        this.answers = new Resp(ANSWER_PARTS, limits.part());
+    }
+
+    /** An attempt on this connection, with the pages that have come. */
+    private static final class Exchange {
+        final Attempt attempt;
+        final ByteArrayOutputStream rows = new ByteArrayOutputStream();
+        boolean written;
+        int pages;
+        int nextPage = 1;
+        long work;
+        double memory;
+
+        Exchange(Attempt attempt) {
+            this.attempt = attempt;
+        }
+    }
+
+    void connect(InetSocketAddress address) {
+        peer.connect(address, this);
+    }
+
+    synchronized boolean isOver() {
+        return over;
+    }
+
+    /** Whether a request with this id may start here; the id stays taken until its engine has answered. */
+    synchronized boolean hasRoom(String id) {
+        return !over && exchanges.size() < limits.engineStreams() && !exchanges.containsKey(id);
+    }
+
+    boolean start(Attempt attempt) {
+        Exchange exchange = new Exchange(attempt);
+        String id = attempt.request().id();
+        synchronized (this) {
+            if (over) {
+                return false;
+            }
+            exchanges.put(id, exchange);
+        }
+        if (!peer.offer(now -> command(exchange, now))) {
+            synchronized (this) {
+                // If the connection has ended in between, its end has told of this attempt.
+                return !exchanges.remove(id, exchange);
+            }
+        }
+        return true;
+    }
+
+    /** The command, if it may still leave when its turn comes: it may have waited behind a slow engine. */
+    private byte[] command(Exchange exchange, long now) {
+        Attempt attempt = exchange.attempt;
+        Request request = attempt.request();
+        boolean allowed = now <= link.lastSend() && now < attempt.endsAt() && attempt.wanted();
+        synchronized (this) {
+            exchange.written = allowed;
+            if (!allowed && !exchanges.remove(request.id(), exchange)) {
+                return null;
+            }
+        }
+        if (!allowed) {
+            core.ended(attempt, Attempt.Result.of(End.NOT_SENT));
+            return null;
+        }
+        Map<String, String> fields = new LinkedHashMap<>();
+        fields.put("profile", request.type());
+        fields.put("max", Long.toString(Clock.toMillis(attempt.endsAt() - now)));
+        if (request.repeatKey() != null) {
+            fields.put("replay", request.repeatKey());
+        }
+        fields.put("rank", Integer.toString(attempt.priority()));
+        return Resp.array(utf8("do"), utf8(request.id()), utf8(Resp.fields(fields)), request.statement());
+    }
+
+    void undo(Attempt attempt) {
+        if (isOut(attempt)) {
+            peer.send(Resp.words("undo", attempt.request().id()));
+        }
+    }
+
+    void bump(Attempt attempt, int priority) {
+        if (isOut(attempt)) {
+            peer.send(Resp.words("bump", attempt.request().id(), Integer.toString(priority)));
+        }
+    }
+
+    private synchronized boolean isOut(Attempt attempt) {
+        Exchange exchange = exchanges.get(attempt.request().id());
+        return exchange != null && exchange.attempt == attempt;
+    }
+
+    boolean probe(Consumer<Map<String, Double>> answer) {
+        String tag;
+        synchronized (this) {
+            if (over) {
+                return false;
+            }
+            tag = PROBE_TAG + probeCount++;
+            probes.put(tag, answer);
+        }
+        peer.send(Resp.words("top", tag));
+        return true;
+    }
+
+    void close() {
+        peer.close();
+    }
+
+    @Override
+    public void read(byte[] bytes, int count) {
+        try {
+            answers.feed(bytes, count);
+            for (List<byte[]> parts = answers.next(); parts != null; parts = answers.next()) {
+                take(EngineMessage.of(parts));
+            }
+        } catch (ProtocolException e) {
+            // What follows can't be told apart any more; the end of the connection ends what is out on it.
+            close();
+        }
+    }
+
+    private void take(EngineMessage message) {
+        if (message.kind() == EngineMessage.Kind.PROBE) {
+            Consumer<Map<String, Double>> answer;
+            synchronized (this) {
+                answer = probes.remove(message.id());
+            }
+            if (answer != null) {
+                answer.accept(message.report());
+            }
+            return;
+        }
+        Exchange exchange;
+        synchronized (this) {
+            exchange = exchanges.get(message.id());
+        }
+        if (exchange == null) {
+            return;
+        }
+        switch (message.kind()) {
+            case OK -> {
+                exchange.pages = message.pages();
+                exchange.work = message.workMicros();
+                exchange.memory = message.memory();
+                page(exchange, message.body());
+            }
+            case PAGE -> {
+                if (message.page() != exchange.nextPage || exchange.pages == 0) {
+                    end(exchange, Attempt.Result.of(End.ERROR));
+                } else {
+                    exchange.nextPage++;
+                    page(exchange, message.body());
+                }
+            }
+            case FULL -> end(exchange, Attempt.Result.of(End.FULL));
+            case ERROR -> end(exchange, Attempt.Result.of(End.ERROR));
+            case STALE -> end(exchange, Attempt.Result.of(End.NOT_SENT));
+            case NOTE -> note(exchange.attempt, message);
+            default -> { }
+        }
+    }
+
+    /** Takes a page and asks for the next; the answer is whole only with the last. */
+    private void page(Exchange exchange, byte[] rows) {
+        exchange.rows.writeBytes(rows);
+        String id = exchange.attempt.request().id();
+        boolean more = exchange.nextPage < exchange.pages;
+        if (exchange.rows.size() > limits.result()) {
+            end(exchange, Attempt.Result.of(End.ERROR));
+            peer.send(Resp.words("forget", id));
+        } else if (more && exchange.attempt.wanted()) {
+            peer.send(Resp.words("page", id, Integer.toString(exchange.nextPage)));
+        } else {
+            end(exchange, new Attempt.Result(End.OK, exchange.rows.toByteArray(), exchange.work, exchange.memory));
+            if (more) {
+                peer.send(Resp.words("forget", id));
+            }
+        }
+    }
+
+    private void note(Attempt attempt, EngineMessage message) {
+        switch (message.note()) {
+            case "advance" -> core.noted(attempt, NoteKind.PROGRESS, message.amount());
+            case "disk" -> core.noted(attempt, NoteKind.SPILL, message.amount());
+            case "stall" -> core.noted(attempt,
+                    message.amount() >= 2 ? NoteKind.WAITS_LOAD : NoteKind.WAITS_MEMORY, message.amount());
+            default -> { }
+        }
+    }
+
+    private void end(Exchange exchange, Attempt.Result result) {
+        synchronized (this) {
+            if (!exchanges.remove(exchange.attempt.request().id(), exchange)) {
+                return;
+            }
+        }
+        core.ended(exchange.attempt, result);
+    }
+
+    /** Decides and marks in one step, so that no attempt starts on a connection about to close. */
+    @Override
+    public synchronized boolean quiet() {
+        over |= exchanges.isEmpty();
+        return !over;
+    }
+
+    @Override
+    public byte[] ended(boolean wasUp) {
+        List<Exchange> out;
+        List<Consumer<Map<String, Double>>> asked;
+        synchronized (this) {
+            over = true;
+            out = new ArrayList<>(exchanges.values());
+            asked = new ArrayList<>(probes.values());
+            exchanges.clear();
+            probes.clear();
+        }
+        for (Exchange exchange : out) {
+            End end = exchange.written ? End.RESET : wasUp ? End.NOT_SENT : End.CONNECT_FAILED;
+            core.ended(exchange.attempt, Attempt.Result.of(end));
+        }
+        asked.forEach(answer -> answer.accept(null));
+        return null;
+    }
+
+    private static byte[] utf8(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- a/src/test/java/cairnline/DecisionsTest.java
+++ b/src/test/java/cairnline/control/DecisionsTest.java
@@ -1,16 +1,16 @@
-package cairnline;
+package cairnline.control;
 
-import static cairnline.Script.MS;
-import static cairnline.Script.SECOND;
+import static cairnline.control.Script.MS;
+import static cairnline.control.Script.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cairnline.ControlApi.End;
-import cairnline.ControlApi.Load;
-import cairnline.ControlApi.Outcome;
-import cairnline.Script.Site;
+import cairnline.control.ControlApi.End;
+import cairnline.control.ControlApi.Load;
+import cairnline.control.ControlApi.Outcome;
+import cairnline.control.Script.Site;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/cairnline/EmbeddingTest.java
+++ b/src/test/java/cairnline/control/EmbeddingTest.java
@@ -1,8 +1,8 @@
-package cairnline;
+package cairnline.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import cairnline.Script.Site;
+import cairnline.control.Script.Site;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/cairnline/FleetTest.java
+++ b/src/test/java/cairnline/control/FleetTest.java
@@ -1,19 +1,19 @@
-package cairnline;
+package cairnline.control;
 
-import static cairnline.Script.MS;
-import static cairnline.Script.SECOND;
+import static cairnline.control.Script.MS;
+import static cairnline.control.Script.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cairnline.ControlApi.Effect;
-import cairnline.ControlApi.End;
-import cairnline.ControlApi.Engine;
-import cairnline.ControlApi.Listed;
-import cairnline.ControlApi.Load;
-import cairnline.ControlApi.NoteKind;
-import cairnline.ControlApi.Outcome;
-import cairnline.Script.Site;
+import cairnline.control.ControlApi.Effect;
+import cairnline.control.ControlApi.End;
+import cairnline.control.ControlApi.Engine;
+import cairnline.control.ControlApi.Listed;
+import cairnline.control.ControlApi.Load;
+import cairnline.control.ControlApi.NoteKind;
+import cairnline.control.ControlApi.Outcome;
+import cairnline.control.Script.Site;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/cairnline/ModuleSizeTest.java
+++ b/src/test/java/cairnline/control/ModuleSizeTest.java
@@ -1,4 +1,4 @@
-package cairnline;
+package cairnline.control;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -15,7 +15,7 @@
 
     @Test
     void theModuleKeepsItsLimits() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/cairnline/Control.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/cairnline/control/Control.java"));
         long filled = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(filled <= LINES, "lines: " + filled);
         for (String line : lines) {
--- a/src/test/java/cairnline/RulesTest.java
+++ b/src/test/java/cairnline/control/RulesTest.java
@@ -1,16 +1,16 @@
-package cairnline;
+package cairnline.control;
 
-import static cairnline.Script.MS;
-import static cairnline.Script.SECOND;
+import static cairnline.control.Script.MS;
+import static cairnline.control.Script.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cairnline.ControlApi.Effect;
-import cairnline.ControlApi.End;
-import cairnline.ControlApi.Listed;
-import cairnline.ControlApi.Scope;
-import cairnline.Script.Site;
+import cairnline.control.ControlApi.Effect;
+import cairnline.control.ControlApi.End;
+import cairnline.control.ControlApi.Listed;
+import cairnline.control.ControlApi.Scope;
+import cairnline.control.Script.Site;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/cairnline/Script.java
+++ b/src/test/java/cairnline/control/Script.java
@@ -1,22 +1,22 @@
-package cairnline;
-
-import cairnline.ControlApi.Actions;
-import cairnline.ControlApi.Effect;
-import cairnline.ControlApi.End;
-import cairnline.ControlApi.Engine;
-import cairnline.ControlApi.Kind;
-import cairnline.ControlApi.Listed;
-import cairnline.ControlApi.Load;
-import cairnline.ControlApi.Note;
-import cairnline.ControlApi.NoteKind;
-import cairnline.ControlApi.Outcome;
-import cairnline.ControlApi.Permissions;
-import cairnline.ControlApi.Request;
-import cairnline.ControlApi.Rules;
-import cairnline.ControlApi.Scope;
-import cairnline.ControlApi.Settings;
-import cairnline.ControlApi.Tenant;
-import cairnline.ControlApi.Type;
+package cairnline.control;
+
+import cairnline.control.ControlApi.Actions;
+import cairnline.control.ControlApi.Effect;
+import cairnline.control.ControlApi.End;
+import cairnline.control.ControlApi.Engine;
+import cairnline.control.ControlApi.Kind;
+import cairnline.control.ControlApi.Listed;
+import cairnline.control.ControlApi.Load;
+import cairnline.control.ControlApi.Note;
+import cairnline.control.ControlApi.NoteKind;
+import cairnline.control.ControlApi.Outcome;
+import cairnline.control.ControlApi.Permissions;
+import cairnline.control.ControlApi.Request;
+import cairnline.control.ControlApi.Rules;
+import cairnline.control.ControlApi.Scope;
+import cairnline.control.ControlApi.Settings;
+import cairnline.control.ControlApi.Tenant;
+import cairnline.control.ControlApi.Type;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/src/test/java/cairnline/simhost/AdapterTest.java
+++ b/src/test/java/cairnline/simhost/AdapterTest.java
@@ -23,7 +23,7 @@
 
     private static String exchange(String input) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        Main.serve(new BufferedReader(new StringReader(input)), out);
+        SimHost.serve(new BufferedReader(new StringReader(input)), out);
         return out.toString(StandardCharsets.UTF_8);
     }
 
