Tell engines of attempts that time out, rest keys longer, answer earlier

A trace of the loads showed the next load of a key leaving 332 ms after a time-out, yet counted as sent while the earlier was out; with a longer rest alone it stayed so, even 1 s after. The engine had not been told: an attempt is out until it is given up, so Core.giveUp now sends undo with every time-out. Ruled out: max running late (it is counted when written), reading order of the clients.

--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -1,6 +1,7 @@
 package cairnline.program;
 
 import cairnline.control.ControlApi.Effect;
+import cairnline.control.ControlApi.Rules;
 import cairnline.control.ControlApi.Settings;
 import cairnline.protocol.FeedEvent;
 import cairnline.protocol.Json;
@@ -27,6 +28,7 @@
     private static final int SOCKETS_DEFAULT = 1024;
     private static final int SOCKETS_LEAST = 64;
     private static final long NANOS_PER_MICRO = 1_000;
+    private static final long REST_SLACK_NANOS = 100_000_000;
 
     private final InetSocketAddress listen;
     private final InetSocketAddress feed;
@@ -168,12 +170,27 @@
 
     private static Settings settings(Fields fields) {
         try {
-            return new SettingsReader(fields).read();
+            return rested(new SettingsReader(fields).read());
         } catch (WireException | IllegalArgumentException e) {
             throw new ConfigurationException("settings", e.getMessage());
         }
     }
 
+    /**
+     * A key rests longer here than the settings say: on sockets every time limit is longer by a slack, and an
+     * attempt that is given up a little early still counts as out until its client's time is up.
+     */
+    private static Settings rested(Settings s) {
+        Rules r = s.rules();
+        if (r.keyRest() == 0) {
+            return s;
+        }
+        Rules rules = new Rules(r.drainGrace(), r.coldFrom(), r.warmWithin(), r.tipMultiple(), r.overloadFor(),
+                r.keyRest() + REST_SLACK_NANOS, r.spareAttempts(), r.extraPerRequest(), r.lookBack());
+        return new Settings(s.self(), s.fronts(), s.zone(), s.types(), s.tenants(), s.kinds(), s.permissions(), rules,
+                s.overShareWorth(), s.grantCap(), s.follow(), s.notePeriod(), s.marksRepeats());
+    }
+
     /** Nested values by their paths, as the simulator's first message words them. */
     private static Map<String, String> flat(Map<String, Object> settings) {
         Map<String, String> flat = new LinkedHashMap<>();
@@ -215,7 +232,7 @@
                 (int) Math.min(4096, fields.whole("permissions.maxOpen", 4096)), idleClose * 2 / 3,
                 Clock.ofMillis(20_000), 262_144, 65_536, 48_000, 8,
                 (int) fields.whole("permissions.streamsPerConn", 100), connect, Clock.ofMillis(200),
-                Clock.ofMillis(3_500), 4 << 20, Clock.ofMillis(20), drainGrace / 2, Clock.ofMillis(1_000),
+                Clock.ofMillis(3_500), 4 << 20, Clock.ofMillis(50), drainGrace / 2, Clock.ofMillis(1_000),
                 Clock.ofMillis(1_000), Clock.ofMillis(1_000));
     }
 }
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -264,6 +264,18 @@
                 Clock.toModule(now - a.sentAt()), last, Clock.toModule(result.work()), result.memory(), Load.NONE)));
     }
 
+    /**
+     * Ends an attempt from this side. The engine must be told: until then it counts as out, and a load that follows
+     * it on its key would break the order.
+     */
+    private void giveUp(Attempt a, End how) {
+        Out given = out.get(a);
+        if (given != null) {
+            given.engine.link.giveUp(a);
+            end(a, Attempt.Result.of(how));
+        }
+    }
+
     @Override
     public void send(String id, String engineId, long timeout) {
         OpenRequest o = open.get(id);
@@ -282,7 +294,7 @@
         if (o.answered || engine == null || endsAt <= now) {
             timers.at(now, () -> end(a, Attempt.Result.of(End.NOT_SENT)));
         } else if (engine.link.send(a)) {
-            timers.at(endsAt, () -> end(a, Attempt.Result.of(End.TIMEOUT)));
+            timers.at(endsAt, () -> giveUp(a, End.TIMEOUT));
         } else {
             timers.at(now, () -> end(a, Attempt.Result.of(End.FULL)));
         }
@@ -295,10 +307,7 @@
             return;
         }
         Attempt a = o.attempts.get(number);
-        if (out.get(a).engine != null) {
-            out.get(a).engine.link.cancel(a);
-        }
-        timers.at(now, () -> end(a, Attempt.Result.of(End.CANCELLED)));
+        timers.at(now, () -> giveUp(a, End.CANCELLED));
     }
 
     @Override
--- a/src/main/java/cairnline/routing/EngineLink.java
+++ b/src/main/java/cairnline/routing/EngineLink.java
@@ -8,8 +8,8 @@
     /** Starts an attempt, whose end and notes go to the core; false if too many wait to leave. */
     boolean send(Attempt attempt);
 
-    /** Gives up an attempt that is out; its end is no longer waited for. */
-    void cancel(Attempt attempt);
+    /** Gives up an attempt that is out, timed out or cancelled: its engine is told, and its end no longer waited for. */
+    void giveUp(Attempt attempt);
 
     /** Sets the priority of an attempt that is out. */
     void prioritise(Attempt attempt, int priority);
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -35,6 +35,15 @@
     private final Peer peer;
     private final Resp answers;
     private final Map<String, Exchange> exchanges = new HashMap<>();
+    /** Ids given up, whose answers may still be on their way; the oldest give way. */
+    private final Map<String, Boolean> undone = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > limits.openRequests();
+        }
+    };
     private final Map<String, Consumer<Map<String, Double>>> probes = new HashMap<>();
     private long probeCount;
     private boolean over;
@@ -72,7 +81,8 @@
 
     /** Whether a request with this id may start here; the id stays taken until its engine has answered. */
     synchronized boolean hasRoom(String id) {
-        return !over && exchanges.size() < limits.engineStreams() && !exchanges.containsKey(id);
+        return !over && exchanges.size() < limits.engineStreams() && !exchanges.containsKey(id)
+                && !undone.containsKey(id);
     }
 
     boolean start(Attempt attempt) {
@@ -99,10 +109,13 @@
         Request request = attempt.request();
         boolean allowed = now <= link.lastSend() && now < attempt.endsAt() && attempt.wanted();
         synchronized (this) {
-            exchange.written = allowed;
-            if (!allowed && !exchanges.remove(request.id(), exchange)) {
+            if (exchanges.get(request.id()) != exchange) {
                 return null;
             }
+            exchange.written = allowed;
+            if (!allowed) {
+                exchanges.remove(request.id());
+            }
         }
         if (!allowed) {
             core.ended(attempt, Attempt.Result.of(End.NOT_SENT));
@@ -118,9 +131,19 @@
         return Resp.array(utf8("do"), utf8(request.id()), utf8(Resp.fields(fields)), request.statement());
     }
 
+    /** Tells the engine if it has the attempt; an answer that is on its way already finds nothing here. */
     void undo(Attempt attempt) {
-        if (isOut(attempt)) {
-            peer.send(Resp.words("undo", attempt.request().id()));
+        String id = attempt.request().id();
+        boolean written;
+        synchronized (this) {
+            if (!isOut(attempt)) {
+                return;
+            }
+            written = exchanges.remove(id).written;
+            undone.put(id, Boolean.TRUE);
+        }
+        if (written) {
+            peer.send(Resp.words("undo", id));
         }
     }
 
--- a/src/main/java/cairnline/transport/RespLink.java
+++ b/src/main/java/cairnline/transport/RespLink.java
@@ -56,7 +56,7 @@
     }
 
     @Override
-    public void cancel(Attempt attempt) {
+    public void giveUp(Attempt attempt) {
         connections.forEach(connection -> connection.undo(attempt));
     }
 
