Keep what batches and recordings say within its line; a bad letter no longer ends an actor

Seen on review: a URL or header in a JSON batch could hold a line end and so smuggle a request to an engine (HttpMessage now rejects it), and an address in the feed that can't be read would have ended the core's thread (Actor guards each letter, Server.reach makes it an unreachable engine). The margin for paced keys moved from the core, which knows no wire, to the platform's front.

--- a/src/main/java/cairnline/program/Main.java
+++ b/src/main/java/cairnline/program/Main.java
@@ -23,7 +23,7 @@
     private Main() { }
 
     /** Exits with 2 on wrong usage or configuration and 1 on a failure. */
-    public static void main(String[] args) throws IOException, InterruptedException {
+    public static void main(String[] args) throws InterruptedException {
         try {
             switch (args.length == 0 ? "" : args[0]) {
                 case "serve" -> new Server(Configuration.read(System.getenv()),
@@ -35,7 +35,8 @@
             }
         } catch (ConfigurationException e) {
             leave(WRONG_USE, e.getMessage());
-        } catch (WireException e) {
+        } catch (WireException | IOException e) {
+            // An address that can't be had, say.
             leave(1, e.getMessage());
         }
     }
--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -20,7 +20,7 @@
     ODataServer(Configuration configuration, ODataConfiguration odata, Clock clock) throws IOException {
         var limits = configuration.limits();
         core = new Core(configuration.settings(), configuration.seed(), limits, clock, Server::log,
-                (engine, owner) -> new HttpLink(Configuration.address("dial", engine.address()), owner, limits, clock));
+                (engine, owner) -> new HttpLink(Server.reach(engine.address()), owner, limits, clock));
         list = new EngineList(core, limits, clock);
         listener = new Listener(odata.listen(), limits.clients() / 2, limits);
         front = new ODataFront(listener, core, odata.model(), configuration.patience(), limits, clock);
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -9,6 +9,7 @@
 import cairnline.transport.Listener;
 import cairnline.transport.RespLink;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 
@@ -27,7 +28,7 @@
         Clock clock = new Clock();
         limits = configuration.limits();
         core = new Core(configuration.settings(), configuration.seed(), limits, clock, Server::log,
-                (engine, owner) -> new RespLink(Configuration.address("dial", engine.address()), owner, limits, clock));
+                (engine, owner) -> new RespLink(reach(engine.address()), owner, limits, clock));
         list = new EngineList(core, limits, clock);
         feed = new FeedClient(configuration.feed(), list, limits, Server::log);
         clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits), core,
@@ -73,6 +74,16 @@
         Runtime.getRuntime().halt(0);
     }
 
+    /** An address that can't be read is one that can't be reached; the other engines of its event still count. */
+    static InetSocketAddress reach(String address) {
+        try {
+            return Configuration.address("dial", address);
+        } catch (ConfigurationException e) {
+            log(e.getMessage());
+            return InetSocketAddress.createUnresolved("unreadable", 0);
+        }
+    }
+
     static void log(String line) {
         System.err.println("cairnline: " + line);
     }
--- a/src/main/java/cairnline/protocol/HttpMessage.java
+++ b/src/main/java/cairnline/protocol/HttpMessage.java
@@ -14,6 +14,22 @@
     private static final byte[] NO_BODY = {};
     private static final int STATUS_NO_CONTENT = 204;
 
+    /** Rejects what would not stay within its line: a batch or a recording can put any text into these. */
+    public HttpMessage {
+        boolean lines = start[0].chars().noneMatch(HttpMessage::breaks) && start[1].chars().noneMatch(HttpMessage::breaks)
+                && start[2].chars().noneMatch(Character::isISOControl)
+                && headers.entrySet().stream().noneMatch(h -> h.getKey().isEmpty()
+                        || h.getKey().chars().anyMatch(c -> breaks(c) || c == ':')
+                        || h.getValue().chars().anyMatch(c -> c != '\t' && Character.isISOControl(c)));
+        if (!lines) {
+            throw new ProtocolException("a first line or a header holds a character that it must not hold");
+        }
+    }
+
+    private static boolean breaks(int c) {
+        return c == ' ' || Character.isISOControl(c);
+    }
+
     /** A request. */
     public static HttpMessage request(String method, String target, Map<String, String> headers, byte[] body) {
         return new HttpMessage(new String[] {method, target, "HTTP/1.1"}, headers, body);
--- a/src/main/java/cairnline/protocol/ODataModel.java
+++ b/src/main/java/cairnline/protocol/ODataModel.java
@@ -23,7 +23,11 @@
     public byte[] serviceDocument() {
         List<Object> list = new ArrayList<>();
         for (String name : sets.keySet()) {
-            list.add(Map.of("name", name, "kind", "EntitySet", "url", name));
+            Map<String, Object> entry = new LinkedHashMap<>();
+            entry.put("name", name);
+            entry.put("kind", "EntitySet");
+            entry.put("url", name);
+            list.add(entry);
         }
         Map<String, Object> document = new LinkedHashMap<>();
         document.put("@odata.context", "$metadata");
@@ -63,7 +67,10 @@
             type.put("$Key", List.of(set.key()));
             type.put(set.key(), Map.of("$Type", set.keyType()));
             schema.put(set.name() + "Entity", type);
-            container.put(set.name(), Map.of("$Collection", true, "$Type", NAMESPACE + "." + set.name() + "Entity"));
+            Map<String, Object> entry = new LinkedHashMap<>();
+            entry.put("$Collection", true);
+            entry.put("$Type", NAMESPACE + "." + set.name() + "Entity");
+            container.put(set.name(), entry);
         }
         schema.put("Container", container);
         Map<String, Object> document = new LinkedHashMap<>();
--- a/src/main/java/cairnline/routing/Actor.java
+++ b/src/main/java/cairnline/routing/Actor.java
@@ -17,6 +17,9 @@
         long end(long now);
     }
 
+    /** Next turn, in microseconds, should the end of one have failed. */
+    private static final long RETRY = 10_000;
+
     private final BlockingQueue<Runnable> mailbox;
     private final int lettersATurn;
     private final Clock clock;
@@ -77,10 +80,22 @@
                 return;
             }
             now = clock.micros();
-            turns.begin(now);
-            letters.forEach(Runnable::run);
+            long time = now;
+            guarded(() -> turns.begin(time));
+            letters.forEach(Actor::guarded);
             letters.clear();
-            next = turns.end(now);
+            long[] due = {now + RETRY};
+            guarded(() -> due[0] = turns.end(time));
+            next = due[0];
+        }
+    }
+
+    /** One bad letter must not end the actor, and with it all that waits for it. */
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            Thread.currentThread().getUncaughtExceptionHandler().uncaughtException(Thread.currentThread(), e);
         }
     }
 }
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -132,7 +132,7 @@
         actor.put(() -> list(whole, entries));
     }
 
-    /** From now on not ready; {@code done} runs when all that was taken is answered, not before {@code earliest}. */
+    /** From now on not ready; {@code done} runs when nothing more is taken and all that was is answered. */
     public void stopping(Runnable done) {
         actor.put(() -> {
             stopping = true;
@@ -188,9 +188,7 @@
     // ---- Requests ----
 
     private void taken(Request r) {
-        // A client paces the requests of one key before it writes them, and counts its patience from before that.
-        long deadline = r.takenAt() + r.patience() - limits.answerMargin()
-                - (r.order() != null ? limits.orderPacing() : 0);
+        long deadline = r.takenAt() + r.patience() - limits.answerMargin();
         if (open.size() >= limits.openRequests()) {
             r.front().answer(r, Answer.refused("too many open requests", limits.retryAfter()));
             return;
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -147,9 +147,11 @@
         if (rules.ordered() && r.order() == null) {
             throw new ProtocolException("row is missing for class " + r.type());
         }
+        // A client paces the requests of one key before it writes them, and counts its patience from before that.
+        long patience = Clock.ofMillis(r.ttlMs()) - (rules.ordered() ? front.limits().orderPacing() : 0);
         return new Request(r.id(), r.type(), r.statement(), rules.keyed() ? r.repeatKey() : null,
-                rules.ordered() ? r.order() : null, now, Clock.ofMillis(r.ttlMs()), r.workMicros(), r.memory(),
-                r.tables(), (request, answer) -> answered(stream, answer));
+                rules.ordered() ? r.order() : null, now, patience, r.workMicros(), r.memory(), r.tables(),
+                (request, answer) -> answered(stream, answer));
     }
 
     /** On the core's thread. */
--- a/src/test/java/cairnline/program/ODataWireTest.java
+++ b/src/test/java/cairnline/program/ODataWireTest.java
@@ -36,7 +36,7 @@
         play("""
                 client a text %s
                 client a hear HTTP/1.1 200 OK
-                client a hear {"@odata.context":"$metadata","value":[{
+                client a hear {"@odata.context":"$metadata","value":[{"name":"Books","kind":"EntitySet","url":"Books"}]}
                 client a text %s
                 client a hear application/xml
                 client a hear <EntitySet Name="Books"
@@ -57,6 +57,8 @@
             {"GET /Books " + HOST + "OData-MaxVersion: 3.0\\r\\n\\r\\n", "400"},
             {batch("", "{\"id\":\"1\",\"method\":\"GET\",\"url\":\"$batch\"}"), "400"},
             {batch("", read("1", "r1", ",\"dependsOn\":[\"9\"]")), "400"},
+            {batch("", "{\"id\":\"1\",\"method\":\"GET\",\"url\":\"Books(1) HTTP/1.1\\nX: y\"}"), "400"},
+            {batch("", read("1", "r1", ",\"headers\":{\"accept\":\"*/*\\nX: y\"}")), "400"},
             {post("/$batch", "Content-Type: text/plain\\r\\n", ""), "415"}, {"nonsense\\r\\n\\r\\n", "400"}};
         for (String[] each : bad) {
             play("""
