Read the configuration again on SIGHUP and follow the control feed to its new address

The signal masks of the running JVM: HUP is caught, not ignored, so its own handler started the shutdown hook; clients were told type 9 and the feed was never asked at its new address. The program lived on only because Core.end waits until nothing is open, and under load something always is: the other half of the fault (Core.taken took requests for ever after SIGTERM). Lines at fault: Server.run (no handler), FeedClient.address (final), Core.end/taken. Changed: Signals, Server.reload (both files are checked before anything counts; a bad one is logged), FeedClient.follow; a feed is left 2.3 s after its last whole line, not 3.5 s after its last byte, and the thread that follows survives any fault in a line; once no more is taken, requests are refused. OData follows its own feed or engines likewise.

--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -80,6 +80,11 @@
         return feed;
     }
 
+    /** Whether another one differs in what can't change while the program runs. */
+    boolean needsRestart(Configuration other) {
+        return !listen.equals(other.listen) || !settings.equals(other.settings) || !limits.equals(other.limits);
+    }
+
     long seed() {
         return seed;
     }
@@ -244,8 +249,8 @@
         return new Limits(4096, 256, 512 * 1024, 160 * 1024, sockets / 3 + sockets / 16, 32,
                 (int) Math.min(4096, fields.whole("permissions.maxOpen", 4096)), idleClose * 2 / 3,
                 Clock.ofMillis(20_000), 262_144, 65_536, 48_000, 8,
-                (int) fields.whole("permissions.streamsPerConn", 100), connect, Clock.ofMillis(200),
-                Clock.ofMillis(3_500), 4 << 20, Clock.ofMillis(50), Clock.ofMillis(1_000), drainGrace / 2, Clock.ofMillis(1_000),
+                (int) fields.whole("permissions.streamsPerConn", 100), connect, Clock.ofMillis(1_000), Clock.ofMillis(200),
+                Clock.ofMillis(2_300), 4 << 20, Clock.ofMillis(50), Clock.ofMillis(1_000), drainGrace / 2, Clock.ofMillis(1_000),
                 Clock.ofMillis(1_000), Clock.ofMillis(1_000), 24, 16_384, 1 << 20, 64, 100);
     }
 }
--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -24,12 +24,21 @@
         list = new EngineList(core, limits, clock);
         listener = new Listener(odata.listen(), limits.clients() / 2, limits);
         front = new ODataFront(listener, core, odata.model(), configuration.patience(), limits, clock);
-        feed = odata.feed() == null ? null : new FeedClient(odata.feed(), list, limits, Server::log);
+        feed = odata.feed() == null ? null : new FeedClient(odata.feed(), list, limits, clock, Server::log);
         if (!odata.engines().isEmpty()) {
             core.listed(true, odata.engines());
         }
     }
 
+    /** Takes up the feed or the engines that its file names now. */
+    void follow(ODataConfiguration odata) {
+        if (feed != null && odata.feed() != null) {
+            feed.follow(odata.feed());
+        } else if (!odata.engines().isEmpty()) {
+            core.listed(true, odata.engines());
+        }
+    }
+
     void start() {
         core.start();
         list.start();
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -15,6 +15,8 @@
 
 /** The workload manager: its parts wired, its start and its end. */
 final class Server {
+    private final Configuration started;
+    private final Path odataFile;
     private final Limits limits;
     private final Core core;
     private final EngineList list;
@@ -26,15 +28,16 @@
     /** {@code odataFile} turns the OData front on; null leaves it off. */
     Server(Configuration configuration, Path odataFile) throws IOException {
         Clock clock = new Clock();
+        started = configuration;
+        this.odataFile = odataFile;
         limits = configuration.limits();
         core = new Core(configuration.settings(), configuration.seed(), limits, clock, Server::log,
                 (engine, owner) -> new RespLink(reach(engine.address()), owner, limits, clock));
         list = new EngineList(core, limits, clock);
-        feed = new FeedClient(configuration.feed(), list, limits, Server::log);
+        feed = new FeedClient(configuration.feed(), list, limits, clock, Server::log);
         clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits), core,
                 configuration.classes(), limits, clock);
-        configuration.known().forEach(event ->
-                list.changed(event.number(), event.whole(), FeedClient.entries(event)));
+        tell(configuration);
         list.changed(configuration.knownLast(), false, null);
         odata = odataFile == null ? null : new ODataServer(configuration,
                 ODataConfiguration.read(odataFile, configuration.settings()), clock);
@@ -44,6 +47,8 @@
     void run() throws InterruptedException {
         // A shutdown hook, since SIGTERM must end in exit code 0 with all that was taken answered.
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
+        // Before anything is served: the JVM ends on SIGHUP where nobody handles it.
+        Signals.handle("HUP", this::reload);
         core.start();
         list.start();
         clients.start();
@@ -54,6 +59,29 @@
         stopped.await();
     }
 
+    private void tell(Configuration configuration) {
+        configuration.known().forEach(event ->
+                list.changed(event.number(), event.whole(), FeedClient.entries(event)));
+    }
+
+    /** Reads the configuration again, all of it before any of it counts; with a fault in it the old one stays. */
+    private synchronized void reload() {
+        try {
+            Configuration next = Configuration.read(System.getenv());
+            ODataConfiguration nextOData = odataFile == null ? null
+                    : ODataConfiguration.read(odataFile, started.settings());
+            feed.follow(next.feed());
+            tell(next);
+            if (odata != null) {
+                odata.follow(nextOData);
+            }
+            log("configuration read again; the control feed is at " + next.feed()
+                    + (next.needsRestart(started) ? "; listen, settings and limits stay until the next start" : ""));
+        } catch (ConfigurationException e) {
+            log("the old configuration stays: " + e.getMessage());
+        }
+    }
+
     private void stop() {
         CountDownLatch answered = new CountDownLatch(odata == null ? 1 : 2);
         clients.stopping();
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -42,6 +42,7 @@
     private long now;
     private long taken;
     private boolean stopping;
+    private boolean closed;
     private Runnable whenDone;
     private volatile boolean ready;
 
@@ -137,7 +138,10 @@
         actor.put(() -> {
             stopping = true;
             ready = false;
-            timers.at(now + limits.stopTaking(), () -> whenDone = done);
+            timers.at(now + limits.stopTaking(), () -> {
+                closed = true;
+                whenDone = done;
+            });
         });
     }
 
@@ -189,8 +193,11 @@
 
     private void taken(Request r) {
         long deadline = r.takenAt() + r.patience() - limits.answerMargin();
-        if (open.size() >= limits.openRequests()) {
-            r.front().answer(r, Answer.refused("too many open requests", limits.retryAfter()));
+        // While stopping, what comes once no more is taken must not keep the program from its end.
+        String refusal = closed ? "this workload manager stops"
+                : open.size() >= limits.openRequests() ? "too many open requests" : null;
+        if (refusal != null) {
+            r.front().answer(r, Answer.refused(refusal, limits.retryAfter()));
             return;
         }
         OpenRequest o = new OpenRequest("q" + taken++, r, deadline);
--- a/src/main/java/cairnline/routing/Limits.java
+++ b/src/main/java/cairnline/routing/Limits.java
@@ -18,6 +18,7 @@
  * @param engineConnections connections to one engine
  * @param engineStreams open requests on one connection to an engine
  * @param connect a connection that is not up by then has failed
+ * @param feedConnect a control feed that is not up by then is tried again
  * @param feedPause between attempts to reach the control feed
  * @param feedSilence after this a silent control feed is left and reached anew
  * @param feedLine longest line of the control feed
@@ -35,6 +36,6 @@
  */
 public record Limits(int coreMailbox, int peerMailbox, int coreStack, int peerStack, int clients, int openPerClient,
                      int openRequests, long idle, long writeStall, int frame, int part, int result,
-                     int engineConnections, int engineStreams, long connect, long feedPause,
+                     int engineConnections, int engineStreams, long connect, long feedConnect, long feedPause,
                      long feedSilence, int feedLine, long answerMargin, long orderPacing, long drainGrace, long stopTaking, long flush,
                      long retryAfter, int httpConnections, int httpHead, int httpBody, int httpPages, int batch) { }
--- a/src/main/java/cairnline/transport/FeedClient.java
+++ b/src/main/java/cairnline/transport/FeedClient.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.function.Consumer;
@@ -19,16 +20,20 @@
 public final class FeedClient {
     private static final int READ_SIZE = 8192;
 
-    private final InetSocketAddress address;
     private final EngineList list;
     private final Limits limits;
+    private final Clock clock;
     private final Consumer<String> log;
+    private InetSocketAddress address;
+    /** The connection to that address; closing it wakes the thread that follows. */
+    private Socket socket = new Socket();
 
     /** A client that does not follow yet. */
-    public FeedClient(InetSocketAddress address, EngineList list, Limits limits, Consumer<String> log) {
+    public FeedClient(InetSocketAddress address, EngineList list, Limits limits, Clock clock, Consumer<String> log) {
         this.address = address;
         this.list = list;
         this.limits = limits;
+        this.clock = clock;
         this.log = log;
     }
 
@@ -37,36 +42,67 @@
         Threads.start("feed", limits.coreStack(), this::follow);
     }
 
+    /** From now on the feed is at this address; its numbers go on. */
+    public synchronized void follow(InetSocketAddress next) {
+        if (!next.equals(address)) {
+            address = next;
+            Threads.close(socket);
+            notifyAll();
+        }
+    }
+
     private void follow() {
         boolean lost = false;
+        InetSocketAddress at;
         do {
-            try (Socket socket = new Socket()) {
-                socket.connect(address, (int) Clock.toMillis(limits.feedSilence()));
-                socket.setSoTimeout((int) Clock.toMillis(limits.feedSilence()));
-                socket.getOutputStream().write(("SUB " + list.last() + "\n").getBytes(StandardCharsets.US_ASCII));
-                read(socket, lost);
-            } catch (IOException | ProtocolException e) {
+            Socket opened = new Socket();
+            at = use(opened);
+            try (opened) {
+                opened.connect(at, (int) Clock.toMillis(limits.feedConnect()));
+                opened.getOutputStream().write(("SUB " + list.last() + "\n").getBytes(StandardCharsets.US_ASCII));
+                read(opened, lost);
+            } catch (IOException | RuntimeException e) {
+                // Also on what no reader foresees: without this thread the list would stand still for good.
                 if (!lost) {
                     log.accept("control feed lost: " + e.getMessage());
                 }
             }
             lost = true;
-        } while (Threads.pause(limits.feedPause()));
+        } while (pause(at));
+    }
+
+    private synchronized InetSocketAddress use(Socket opened) {
+        socket = opened;
+        return address;
+    }
+
+    /** Waits before that address is asked again; not at all once there is another. */
+    private synchronized boolean pause(InetSocketAddress asked) {
+        long until = clock.micros() + limits.feedPause();
+        try {
+            for (long left = limits.feedPause(); left > 0 && asked.equals(address); left = until - clock.micros()) {
+                wait(Clock.toMillis(left));
+            }
+            return true;
+        } catch (InterruptedException e) {
+            return false;
+        }
     }
 
-    private void read(Socket socket, boolean wasLost) throws IOException {
+    private void read(Socket from, boolean wasLost) throws IOException {
         ByteQueue bytes = new ByteQueue();
         byte[] buffer = new byte[READ_SIZE];
         int searched = 0;
         if (wasLost) {
             log.accept("control feed reached again");
         }
-        for (int count = socket.getInputStream().read(buffer); count >= 0;
-                count = socket.getInputStream().read(buffer)) {
+        long silentAt = clock.micros() + limits.feedSilence();
+        for (int count = receive(from, buffer, silentAt); count >= 0; count = receive(from, buffer, silentAt)) {
             bytes.feed(buffer, 0, count);
             for (int end = bytes.indexOf('\n', searched); end >= 0; end = bytes.indexOf('\n', 0)) {
                 changed(FeedEvent.line(bytes.take(end)));
                 bytes.skip(1);
+                silentAt = clock.micros() + limits.feedSilence();
             }
             searched = bytes.size();
             if (searched > limits.feedLine()) {
@@ -76,6 +112,16 @@
         throw new IOException("it closed the connection");
     }
 
+    /** Only whole lines are a sign of life: a feed may stop in the middle of one, or drip. */
+    private int receive(Socket from, byte[] buffer, long silentAt) throws IOException {
+        long left = silentAt - clock.micros();
+        if (left <= 0) {
+            throw new SocketTimeoutException("it tells nothing whole");
+        }
+        from.setSoTimeout((int) Clock.toMillis(left));
+        return from.getInputStream().read(buffer);
+    }
+
     private void changed(FeedEvent event) {
         if (event != null) {
             list.changed(event.number(), event.whole(), entries(event));
--- a/src/test/java/cairnline/program/RuleChecks.java
+++ b/src/test/java/cairnline/program/RuleChecks.java
@@ -184,4 +184,17 @@
                 wait stopped
                 client a expect r1 failed""");
     }
+
+    @Test
+    void whatComesOnceNoMoreIsTakenDoesNotKeepTheProgramFromItsEnd() throws Exception {
+        play("""
+                list e1 ready
+                client a send lookup r1
+                engine expect r1
+                engine send r1 ok one
+                client a expect r1 served one
+                wait stopped
+                client a send lookup r2
+                client a expect r2 refused""");
+    }
 }
