Bound what bad clients cost: time for a frame, room, floods, silent hundreds, taken ids

CPU by thread (/proc): one node spent 8.0 s of system time in 25 s, all of it in client threads that had ended, at its limit of half a core. Lines at fault: ClientSession.read/quiet, Peer.read (idle time restarted by any byte), Listener.accept/tooMany. Changed: after its last word a connection is read for 64 KiB or 500 ms more; a first frame is owed within 2 s, the rest of one within 2.5 s (Allowance); 8 MiB in all for statements and unfinished messages; at the cap the connection that asked nothing, or is idle longest, gives way, and a newcomer is turned away without a thread; writers start with the first letter; an id that is open with another statement is refused; a stream used twice ends the connection. OData likewise.

--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -28,6 +28,9 @@
 final class Configuration {
     private static final int SOCKETS_DEFAULT = 1024;
     private static final int SOCKETS_LEAST = 64;
+    /** Each client costs a thread or two, and with them memory. */
+    private static final int CLIENTS_MOST = 400;
+    private static final int CLIENTS_SPARE = 24;
     private static final long NANOS_PER_MICRO = 1_000;
     private static final long REST_SLACK_NANOS = 100_000_000;
 
@@ -237,6 +240,11 @@
         return limits(Map.of(), Fields.of(Map.of()));
     }
 
+    /** Room for clients: engines, the feed, files and the JVM need the rest, which is some 70 of the fewest told. */
+    private static int clients(int sockets) {
+        return Math.min(CLIENTS_MOST, sockets * 5 / 8 - CLIENTS_SPARE);
+    }
+
     private static Limits limits(Map<String, Object> root, Fields fields) {
         Map<String, Object> told = root.containsKey("limits") ? object(root, "limits") : Map.of();
         int sockets = (int) whole(told, "limits.sockets", "sockets", SOCKETS_DEFAULT);
@@ -246,9 +254,10 @@
         long connect = fields.whole("permissions.connectTimeoutNs", 250_000_000) / NANOS_PER_MICRO;
         long idleClose = fields.whole("permissions.idleCloseNs", 30_000_000_000L) / NANOS_PER_MICRO;
         long drainGrace = fields.whole("safety.drainGraceNs", 1_000_000_000) / NANOS_PER_MICRO;
-        return new Limits(4096, 256, 512 * 1024, 160 * 1024, sockets / 3 + sockets / 16, 32,
-                (int) Math.min(4096, fields.whole("permissions.maxOpen", 4096)), idleClose * 2 / 3,
-                Clock.ofMillis(20_000), 262_144, 65_536, 48_000, 8,
+        return new Limits(4096, 256, 512 * 1024, 160 * 1024, clients(sockets), 32,
+                (int) Math.min(4096, fields.whole("permissions.maxOpen", 4096)), 8 << 20,
+                idleClose * 2 / 3, Clock.ofMillis(4_500), Clock.ofMillis(250), Clock.ofMillis(2_000), Clock.ofMillis(2_500),
+                Clock.ofMillis(500), 65_536, Clock.ofMillis(20_000), 262_144, 65_536, 48_000, 8,
                 (int) fields.whole("permissions.streamsPerConn", 100), connect, Clock.ofMillis(1_000), Clock.ofMillis(200),
                 Clock.ofMillis(2_300), 4 << 20, Clock.ofMillis(50), Clock.ofMillis(1_000), drainGrace / 2, Clock.ofMillis(1_000),
                 Clock.ofMillis(1_000), Clock.ofMillis(1_000), 24, 16_384, 1 << 20, 64, 100);
--- a/src/main/java/cairnline/program/Main.java
+++ b/src/main/java/cairnline/program/Main.java
@@ -47,7 +47,8 @@
             return;
         }
         Limits limits = Configuration.defaultLimits();
-        new StandInEngine(new Listener(options.standIn(), limits.clients(), limits), limits, new Clock()).start();
+        Clock clock = new Clock();
+        new StandInEngine(new Listener(options.standIn(), limits.clients(), limits, clock), limits, clock).start();
         System.out.println("stand-in engine listens at " + options.standIn());
         Thread.currentThread().join();
     }
--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -22,7 +22,7 @@
         core = new Core(configuration.settings(), configuration.seed(), limits, clock, Server::log,
                 (engine, owner) -> new HttpLink(Server.reach(engine.address()), owner, limits, clock));
         list = new EngineList(core, limits, clock);
-        listener = new Listener(odata.listen(), limits.clients() / 2, limits);
+        listener = new Listener(odata.listen(), limits.clients() / 2, limits, clock);
         front = new ODataFront(listener, core, odata.model(), configuration.patience(), limits, clock);
         feed = odata.feed() == null ? null : new FeedClient(odata.feed(), list, limits, clock, Server::log);
         if (!odata.engines().isEmpty()) {
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -35,7 +35,7 @@
                 (engine, owner) -> new RespLink(reach(engine.address()), owner, limits, clock));
         list = new EngineList(core, limits, clock);
         feed = new FeedClient(configuration.feed(), list, limits, clock, Server::log);
-        clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits), core,
+        clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits, clock), core,
                 configuration.classes(), limits, clock);
         tell(configuration);
         list.changed(configuration.knownLast(), false, null);
--- a/src/main/java/cairnline/protocol/ClientFrames.java
+++ b/src/main/java/cairnline/protocol/ClientFrames.java
@@ -66,6 +66,11 @@
         return bytes.size() > 0;
     }
 
+    /** Bytes of a frame that has begun and not ended. */
+    public int held() {
+        return bytes.size();
+    }
+
     /** Splits a payload into its fields and its body. */
     public static Content content(byte[] payload) {
         Map<String, String> fields = new LinkedHashMap<>();
--- a/src/main/java/cairnline/protocol/HttpDecoder.java
+++ b/src/main/java/cairnline/protocol/HttpDecoder.java
@@ -33,6 +33,11 @@
         return head != null || bytes.size() > 0;
     }
 
+    /** Bytes of a message that has begun and not ended. */
+    public int held() {
+        return bytes.size() + chunks.size() + (head == null ? 0 : 1);
+    }
+
     /** The next whole message; null until it is there. */
     public HttpMessage next() {
         if (head == null) {
--- a/src/main/java/cairnline/routing/Actor.java
+++ b/src/main/java/cairnline/routing/Actor.java
@@ -94,7 +94,7 @@
     private static void guarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | OutOfMemoryError e) {
             Thread.currentThread().getUncaughtExceptionHandler().uncaughtException(Thread.currentThread(), e);
         }
     }
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -36,6 +36,8 @@
     private final ArrayDeque<Runnable> afterwards = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
     private final Map<Request, OpenRequest> byRequest = new IdentityHashMap<>();
+    /** The same by the ids that clients gave. */
+    private final Map<String, OpenRequest> byClientId = new HashMap<>();
     private final Map<Attempt, Out> out = new IdentityHashMap<>();
     private final Map<String, Engine> engines = new HashMap<>();
     private ControlApi control;
@@ -200,9 +202,16 @@
             r.front().answer(r, Answer.refused(refusal, limits.retryAfter()));
             return;
         }
+        OpenRequest namesake = byClientId.get(r.id());
+        if (namesake != null && !r.asksTheSame(namesake.request)) {
+            // Engines know requests by this id alone: they could answer one with the rows of the other.
+            r.front().answer(r, Answer.failed("its id is that of another request that is open", false));
+            return;
+        }
         OpenRequest o = new OpenRequest("q" + taken++, r, deadline);
         open.put(o.id, o);
         byRequest.put(r, o);
+        byClientId.put(r.id(), o);
         timers.at(deadline + limits.answerMargin() / 2, () -> overdue(o));
         boolean ordered = r.order() != null;
         tell(() -> control.request(moduleNow(), new ControlApi.Request(o.id, r.type(), "", ordered,
@@ -236,6 +245,7 @@
     private void close(OpenRequest o) {
         o.answered = true;
         byRequest.remove(o.request);
+        byClientId.remove(o.request.id(), o);
         o.out.forEach(Attempt::unwanted);
         forgetIfOver(o);
     }
--- a/src/main/java/cairnline/routing/Limits.java
+++ b/src/main/java/cairnline/routing/Limits.java
@@ -10,7 +10,14 @@
  * @param clients client connections at once
  * @param openPerClient open requests on one client connection
  * @param openRequests open requests in all
+ * @param openBytes bytes in all of statements that are open and of messages that have begun and not ended
  * @param idle after this an idle connection is closed from this side, before an engine does it
+ * @param clientIdle after this a client's connection with nothing open is closed
+ * @param evictable one on which nothing has moved for so long gives way to another where there is no room
+ * @param firstMessage a client that has asked nothing whole by then is turned away
+ * @param wholeMessage a client's message that has begun must be whole by then
+ * @param linger so long a connection on which no more is said waits for its peer to close it
+ * @param lingerBytes and so much is read there and dropped
  * @param writeStall a peer that takes nothing for so long is closed
  * @param frame longest client frame
  * @param part largest part of an engine's answer
@@ -35,7 +42,8 @@
  * @param batch most requests in one batch
  */
 public record Limits(int coreMailbox, int peerMailbox, int coreStack, int peerStack, int clients, int openPerClient,
-                     int openRequests, long idle, long writeStall, int frame, int part, int result,
+                     int openRequests, long openBytes, long idle, long clientIdle, long evictable, long firstMessage,
+                     long wholeMessage, long linger, int lingerBytes, long writeStall, int frame, int part, int result,
                      int engineConnections, int engineStreams, long connect, long feedConnect, long feedPause,
                      long feedSilence, int feedLine, long answerMargin, long orderPacing, long drainGrace, long stopTaking, long flush,
                      long retryAfter, int httpConnections, int httpHead, int httpBody, int httpPages, int batch) { }
--- a/src/main/java/cairnline/routing/Request.java
+++ b/src/main/java/cairnline/routing/Request.java
@@ -1,5 +1,8 @@
 package cairnline.routing;
 
+import java.util.Arrays;
+import java.util.Objects;
+
 /**
  * A client's request as any front takes it. {@code id} and {@code repeatKey} pass to engines unchanged; {@code order}
  * is the key whose requests go one at a time, null without; {@code takenAt} is when its last byte was read and
@@ -7,4 +10,10 @@
  * microseconds on one core, 0 if unknown; {@code tables} is -1 if unknown.
  */
 public record Request(String id, String type, byte[] statement, String repeatKey, Long order, long takenAt, long patience,
-                      long work, double memory, int tables, Front front) { }
+                      long work, double memory, int tables, Front front) {
+    /** Whether another request that bears the same id is this one once more, as a client may ask on a new connection. */
+    boolean asksTheSame(Request other) {
+        return type.equals(other.type) && Arrays.equals(statement, other.statement)
+                && Objects.equals(repeatKey, other.repeatKey) && Objects.equals(order, other.order);
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnline/transport/Allowance.java
@@ -0,0 +1,84 @@
+package cairnline.transport;
+
+import cairnline.routing.Limits;
+
+/**
+ * What a client may take: time for its first message, for the rest of one that has begun, and between two; and room
+ * for what has begun. Bytes alone prolong nothing, since a client may drip them for ever.
+ */
+final class Allowance {
+    private final SocketFront front;
+    private final Limits limits;
+    private final long since;
+    private long partialSince;
+    private long held;
+    private volatile boolean asked;
+    private volatile long activeAt;
+
+    Allowance(SocketFront front) {
+        this.front = front;
+        this.limits = front.limits();
+        this.since = front.clock().micros();
+        this.activeAt = since;
+    }
+
+    /**
+     * Bytes have been read, with a whole message among them or not, and so many are left of one that has begun; false
+     * if all clients together hold too much. On the reading thread, as all but what is asked of it.
+     */
+    boolean read(long now, boolean whole, int partial) {
+        asked |= whole;
+        activeAt = now;
+        if (partial == 0) {
+            partialSince = 0;
+        } else if (whole || partialSince == 0) {
+            partialSince = now;
+        }
+        return hold(partial);
+    }
+
+    /** The connection is over. */
+    void end() {
+        hold(0);
+    }
+
+    private boolean hold(long bytes) {
+        long more = bytes - held;
+        held = bytes;
+        return more == 0 || front.hold(more) || more < 0;
+    }
+
+    /** Something has been answered; on any thread. */
+    void answered(long now) {
+        activeAt = now;
+    }
+
+    /** When the client must have moved on, if it last did so then. */
+    long due(long lastRead) {
+        return Math.min(lastRead + limits.clientIdle(), owed());
+    }
+
+    /** When a message is owed. */
+    private long owed() {
+        return !asked ? since + limits.firstMessage()
+                : partialSince > 0 ? partialSince + limits.wholeMessage() : Long.MAX_VALUE;
+    }
+
+    /** Whether a message is owed for too long. */
+    boolean isOver(long now) {
+        return now >= owed();
+    }
+
+    /** Whether the client has been still for so long that it may go if it waits for nothing. */
+    boolean isIdle(long now) {
+        return now - activeAt >= limits.clientIdle();
+    }
+
+    boolean hasAsked() {
+        return asked;
+    }
+
+    long activeAt() {
+        return activeAt;
+    }
+}
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -19,15 +19,21 @@
     private final Peer peer;
     private final ClientFrames frames;
     private final Map<Long, Request> open = new ConcurrentHashMap<>();
+    private final Allowance allowance;
     private Runnable whenEnded;
     private long lastStream;
+    /** Requests that could not be used. */
+    private int faults;
     /** After an error in the framing nothing that follows can be read. */
     private boolean broken;
+    /** It is about to close, with nothing open. */
+    private boolean retired;
 
     ClientSession(Socket socket, ClientFront front) {
         this.front = front;
         this.peer = new Peer("client", socket, front.limits(), front.clock());
         this.frames = new ClientFrames(front.limits().frame());
+        this.allowance = new Allowance(front);
     }
 
     @Override
@@ -51,62 +57,106 @@
 
     @Override
     public void tooMany() {
-        whenEnded = () -> { };
-        broken = true;
-        peer.send(error("too many connections"));
-        peer.finish();
-        peer.start(this);
+        peer.turnAway(error("too many connections"));
+    }
+
+    @Override
+    public long idleSince() {
+        return open.isEmpty() ? allowance.activeAt() : Long.MAX_VALUE;
+    }
+
+    @Override
+    public boolean hasAsked() {
+        return allowance.hasAsked();
+    }
+
+    @Override
+    public synchronized boolean retire() {
+        retired |= open.isEmpty();
+        return retired;
+    }
+
+    @Override
+    public void close() {
+        peer.close();
     }
 
     @Override
-    public void read(byte[] bytes, int count) {
-        long now = front.clock().micros();
+    public void read(byte[] bytes, int count, long now) {
         if (broken) {
             return;
         }
         frames.feed(bytes, count);
         try {
+            boolean whole = false;
             for (Frame frame = frames.next(); frame != null; frame = frames.next()) {
+                whole = true;
                 take(frame, now);
             }
+            if (!allowance.read(now, whole, frames.held())) {
+                throw new ProtocolException("too much has begun and not ended");
+            }
         } catch (ProtocolException e) {
-            broken = true;
-            leave();
-            peer.send(error(e.getMessage()));
-            peer.finish();
+            end(e.getMessage());
         }
     }
 
+    /** Nothing more is read here. */
+    private void end(String problem) {
+        broken = true;
+        leave();
+        peer.send(error(problem));
+        peer.finish();
+    }
+
     @Override
-    public boolean quiet() {
-        return !open.isEmpty();
+    public long due(long lastRead) {
+        return allowance.due(lastRead);
+    }
+
+    @Override
+    public boolean quiet(long now) {
+        if (allowance.isOver(now)) {
+            end("no whole frame in time");
+            return true;
+        }
+        return !allowance.isIdle(now) || !retire();
     }
 
     @Override
     public byte[] ended(boolean wasUp) {
         leave();
+        allowance.end();
         whenEnded.run();
         return frames.partial() && !broken ? error("the connection ended inside a frame") : null;
     }
 
     private void leave() {
         for (Long stream : open.keySet()) {
-            Request request = open.remove(stream);
-            if (request != null) {
-                front.core().abandon(request);
-            }
+            withdraw(stream);
         }
     }
 
+    private void withdraw(long stream) {
+        Request request = over(stream);
+        if (request != null) {
+            front.core().abandon(request);
+        }
+    }
+
+    /** The request that was open on this stream, which no longer is; null if none was. */
+    private Request over(long stream) {
+        Request request = open.remove(stream);
+        if (request != null) {
+            front.hold(-request.statement().length);
+        }
+        return request;
+    }
+
     private void take(Frame frame, long now) {
         switch (frame.type()) {
             case ClientFrames.REQUEST -> request(frame, now);
-            case ClientFrames.WITHDRAWN -> {
-                Request request = open.remove(frame.stream());
-                if (request != null) {
-                    front.core().abandon(request);
-                }
-            }
+            case ClientFrames.WITHDRAWN -> withdraw(frame.stream());
             case ClientFrames.READY_QUESTION ->
                     peer.send(ClientFrames.ready(frame.stream(), front.core().ready()));
             default -> throw new ProtocolException("type " + frame.type() + " is not a client's");
@@ -117,8 +167,7 @@
         long stream = frame.stream();
         if (stream <= lastStream) {
             // An answer on that stream could be taken for the answer to its first request.
-            peer.send(error("stream " + stream + " is not new on this connection"));
-            return;
+            throw new ProtocolException("stream " + stream + " is not new on this connection");
         }
         lastStream = stream;
         if (open.size() >= front.limits().openPerClient()) {
@@ -129,10 +178,24 @@
         try {
             Content content = ClientFrames.content(frame.payload());
             Request request = request(ClientRequest.read(content), stream, now);
-            open.put(stream, request);
-            front.core().take(request);
+            synchronized (this) {
+                if (retired) {
+                    return;
+                }
+                open.put(stream, request);
+            }
+            if (front.hold(request.statement().length)) {
+                front.core().take(request);
+            } else {
+                over(stream);
+                peer.send(say(stream, ClientFrames.CODE_REFUSED, "too much is open"));
+            }
         } catch (ProtocolException e) {
             peer.send(say(stream, ClientFrames.CODE_FAILED, e.getMessage()));
+            faults++;
+            if (faults > front.limits().openPerClient()) {
+                throw new ProtocolException("too many requests that can't be used");
+            }
         }
     }
 
@@ -158,9 +221,10 @@
 
     /** On the core's thread. */
     private void answered(long stream, Answer answer) {
-        if (open.remove(stream) == null) {
+        if (over(stream) == null) {
             return;
         }
+        allowance.answered(front.clock().micros());
         int code = switch (answer.kind()) {
             case SERVED -> ClientFrames.CODE_SERVED;
             case REFUSED -> ClientFrames.CODE_REFUSED;
--- a/src/main/java/cairnline/transport/HttpConnection.java
+++ b/src/main/java/cairnline/transport/HttpConnection.java
@@ -117,7 +117,7 @@
     }
 
     @Override
-    public void read(byte[] bytes, int count) {
+    public void read(byte[] bytes, int count, long now) {
         try {
             answers.feed(bytes, count);
             for (HttpMessage answer = answers.next(); answer != null; answer = answers.next()) {
@@ -190,9 +190,14 @@
         }
     }
 
+    @Override
+    public long due(long lastRead) {
+        return lastRead + limits.idle();
+    }
+
     /** Decides and marks in one step, so that no attempt starts on a connection about to close. */
     @Override
-    public synchronized boolean quiet() {
+    public synchronized boolean quiet(long now) {
         over |= attempt == null;
         return !over;
     }
--- a/src/main/java/cairnline/transport/Listener.java
+++ b/src/main/java/cairnline/transport/Listener.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.routing.Clock;
 import cairnline.routing.Limits;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -17,6 +18,7 @@
     private final ServerSocket server;
     private final Limits limits;
     private final int most;
+    private final Clock clock;
     private final Set<Session> sessions = ConcurrentHashMap.newKeySet();
 
     /** One accepted connection. */
@@ -30,13 +32,35 @@
         /** Waits until what has been answered is written, this many microseconds at most. */
         void flush(long most);
 
-        /** Turns the client away: too many are here. */
+        /** Turns the client away without serving it: too many are here. */
         void tooMany();
+
+        /** Since when nothing is open here; {@code Long.MAX_VALUE} while something is. */
+        default long idleSince() {
+            return Long.MAX_VALUE;
+        }
+
+        /** Whether anything whole has come. */
+        default boolean hasAsked() {
+            return true;
+        }
+
+        /**
+         * Takes nothing more, if nothing is open; decided and marked in one step, so that no request is taken on a
+         * connection that is about to close.
+         */
+        default boolean retire() {
+            return false;
+        }
+
+        /** Ends the connection. */
+        void close();
     }
 
     /** Listens; fails if the address can't be had. */
-    public Listener(InetSocketAddress address, int most, Limits limits) throws IOException {
+    public Listener(InetSocketAddress address, int most, Limits limits, Clock clock) throws IOException {
         this.limits = limits;
+        this.clock = clock;
         this.most = most;
         server = new ServerSocket();
         server.setReuseAddress(true);
@@ -58,19 +82,40 @@
                 Socket socket = server.accept();
                 socket.setTcpNoDelay(true);
                 Session session = open.apply(socket);
-                if (sessions.size() >= most) {
+                if (sessions.size() >= most && !madeRoom()) {
                     session.tooMany();
                 } else {
                     sessions.add(session);
                     session.start(() -> sessions.remove(session));
                 }
-            } catch (IOException e) {
-                // Out of descriptors, or a client that left at once: neither may end the program.
+            } catch (IOException | OutOfMemoryError e) {
+                // Out of descriptors or threads, or a client that left at once: none of them may end the program.
                 Threads.pause(PAUSE);
             }
         }
     }
 
+    /** Ends the connection that is missed least: one that has asked nothing before others, then the longest idle. */
+    private boolean madeRoom() {
+        Session least = null;
+        long leastSince = Long.MAX_VALUE;
+        long newest = clock.micros() - limits.evictable();
+        for (Session session : sessions) {
+            long since = session.idleSince();
+            if (since <= newest && (least == null || least.hasAsked() && !session.hasAsked()
+                    || least.hasAsked() == session.hasAsked() && since < leastSince)) {
+                least = session;
+                leastSince = since;
+            }
+        }
+        if (least == null || !least.retire()) {
+            return false;
+        }
+        sessions.remove(least);
+        least.close();
+        return true;
+    }
+
     Set<Session> sessions() {
         return sessions;
     }
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -10,6 +10,7 @@
 import java.util.ArrayDeque;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * One OData client's connection. Requests are served one after the other, in the order sent; all but the reading
@@ -22,9 +23,14 @@
     private final ArrayDeque<Arrival> waiting = new ArrayDeque<>();
     /** What the core has of this client; given up when it hangs up. */
     private final Set<ODataCall> open = ConcurrentHashMap.newKeySet();
+    /** Requests read and not answered yet. */
+    private final AtomicInteger unanswered = new AtomicInteger();
     private boolean busy;
+    /** It is about to close, with nothing open. */
+    private boolean retired;
     private volatile boolean broken;
     private volatile boolean gone;
+    private final Allowance allowance;
     private Runnable whenEnded;
 
     private record Arrival(HttpMessage request, long at) { }
@@ -33,6 +39,7 @@
         this.front = front;
         this.peer = new Peer("odata", socket, front.limits(), front.clock());
         this.requests = new HttpDecoder(front.limits().httpHead(), front.limits().httpBody());
+        this.allowance = new Allowance(front);
     }
 
     @Override
@@ -53,25 +60,55 @@
 
     @Override
     public void tooMany() {
-        whenEnded = () -> { };
-        refuse(ODataModel.error(503, "too many connections").with("retry-after", "1"));
-        peer.start(this);
+        peer.turnAway(ODataModel.error(503, "too many connections").with("retry-after", "1")
+                .with("connection", "close").bytes());
+    }
+
+    @Override
+    public long idleSince() {
+        return unanswered.get() == 0 ? allowance.activeAt() : Long.MAX_VALUE;
+    }
+
+    @Override
+    public boolean hasAsked() {
+        return allowance.hasAsked();
+    }
+
+    @Override
+    public synchronized boolean retire() {
+        retired |= unanswered.get() == 0;
+        return retired;
     }
 
     @Override
-    public void read(byte[] bytes, int count) {
+    public void close() {
+        peer.close();
+    }
+
+    @Override
+    public void read(byte[] bytes, int count, long now) {
         if (broken) {
             return;
         }
-        long now = front.clock().micros();
         requests.feed(bytes, count);
         try {
+            boolean whole = false;
             for (HttpMessage request = requests.next(); request != null; request = requests.next()) {
+                whole = true;
+                synchronized (this) {
+                    if (retired) {
+                        return;
+                    }
+                    unanswered.incrementAndGet();
+                }
                 Arrival arrival = new Arrival(request, now);
                 if (!peer.offer(turn -> arrived(arrival))) {
                     peer.close();
                 }
             }
+            if (!allowance.read(now, whole, requests.held())) {
+                refuse(ODataModel.error(503, "too much has begun and not ended").with("retry-after", "1"));
+            }
         } catch (ProtocolException e) {
             refuse(ODataModel.error(400, e.getMessage()));
         }
@@ -85,8 +122,17 @@
     }
 
     @Override
-    public boolean quiet() {
-        return !open.isEmpty();
+    public long due(long lastRead) {
+        return allowance.due(lastRead);
+    }
+
+    @Override
+    public boolean quiet(long now) {
+        if (allowance.isOver(now) && unanswered.get() == 0) {
+            refuse(ODataModel.error(408, "no whole request in time"));
+            return true;
+        }
+        return !allowance.isIdle(now) || !retire();
     }
 
     @Override
@@ -94,6 +140,7 @@
         gone = true;
         open.forEach(ODataCall::abandon);
         open.clear();
+        allowance.end();
         whenEnded.run();
         return requests.partial() && !broken
                 ? ODataModel.error(400, "the connection ended inside a request").with("connection", "close").bytes()
@@ -177,6 +224,8 @@
     /** The bytes of an answer, after which the next request is served. */
     private byte[] answer(HttpMessage request, HttpMessage whole) {
         busy = false;
+        unanswered.decrementAndGet();
+        allowance.answered(front.clock().micros());
         boolean last = request.closes() || front.isStopping();
         HttpMessage told = whole.headers().containsKey("odata-version") ? whole : whole.with("odata-version",
                 request.header("odata-maxversion").equals("4.0") ? "4.0" : "4.01");
--- a/src/main/java/cairnline/transport/Peer.java
+++ b/src/main/java/cairnline/transport/Peer.java
@@ -9,6 +9,7 @@
 import java.net.SocketTimeoutException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * One connection: a thread that reads it, and an actor that writes what is left in its mailbox. Nobody but these two
@@ -22,16 +23,24 @@
     private final Clock clock;
     private final String name;
     private final Actor writer;
+    private final AtomicBoolean writes = new AtomicBoolean();
     private volatile long writingSince;
+    /** Once this side has said its last; never before. */
+    private volatile long lingerUntil = Long.MAX_VALUE;
+    /** It will say its last as soon as that can leave; the handler is asked no more. */
+    private volatile boolean finishing;
     private long turn;
 
     /** What is done with a peer's bytes. */
     interface Handler {
         /** Bytes have come; on the reading thread. */
-        void read(byte[] bytes, int count);
+        void read(byte[] bytes, int count, long now);
 
-        /** Nothing has come for a while; the connection ends if this gives false. */
-        boolean quiet();
+        /** When it is asked next whether the connection goes on, if the last bytes came then. */
+        long due(long lastRead);
+
+        /** That time has come; the connection ends if this gives false. */
+        boolean quiet(long now);
 
         /** The connection is over, or never came up; called once. Gives what is to be said last, or null. */
         byte[] ended(boolean wasUp);
@@ -50,15 +59,14 @@
         this.writer = new Actor(name + "-out", limits.peerMailbox(), 1, limits.peerStack(), clock, this);
     }
 
-    /** Serves a connection that is up. */
+    /** Serves a connection that is up; one to which nothing is said needs no thread that writes. */
     void start(Handler handler) {
-        writer.start();
         Threads.start(name, limits.peerStack(), () -> read(handler));
     }
 
     /** Connects first; letters wait for that. */
     void connect(InetSocketAddress address, Handler handler) {
-        writer.offer(() -> {
+        leave(() -> {
             try {
                 socket.connect(address, (int) Clock.toMillis(limits.connect()));
                 socket.setTcpNoDelay(true);
@@ -68,12 +76,18 @@
                 close();
             }
         });
-        writer.start();
+    }
+
+    private boolean leave(Runnable letter) {
+        if (writes.compareAndSet(false, true)) {
+            writer.start();
+        }
+        return writer.offer(letter);
     }
 
     /** Leaves a letter; false if the mailbox is full. */
     boolean offer(Letter letter) {
-        return writer.offer(() -> write(letter.bytes(turn)));
+        return leave(() -> write(letter.bytes(turn)));
     }
 
     /** Leaves bytes to be written; a peer that lets its mailbox fill is closed. */
@@ -86,7 +100,7 @@
     /** Waits until all that was left has been written, this long at most. */
     void flush(long most) {
         CountDownLatch written = new CountDownLatch(1);
-        if (writer.offer(written::countDown)) {
+        if (leave(written::countDown)) {
             try {
                 written.await(most, TimeUnit.MICROSECONDS);
             } catch (InterruptedException e) {
@@ -95,11 +109,23 @@
         }
     }
 
+    /** Says this to a connection that is not served at all, and closes it; so little never blocks. */
+    void turnAway(byte[] bytes) {
+        try {
+            socket.getOutputStream().write(bytes);
+        } catch (IOException e) {
+            // It has left already.
+        }
+        close();
+    }
+
     /** Says no more once what is left has been written; closing at once could lose it on the way. */
     void finish() {
-        boolean left = writer.offer(() -> {
+        finishing = true;
+        boolean left = leave(() -> {
             try {
                 socket.shutdownOutput();
+                lingerUntil = turn + limits.linger();
             } catch (IOException e) {
                 close();
             }
@@ -130,21 +156,24 @@
 
     private void read(Handler handler) {
         byte[] bytes = new byte[READ_SIZE];
+        int dropped = 0;
         try {
-            socket.setSoTimeout((int) Clock.toMillis(limits.idle()));
-            int count = 0;
-            while (count >= 0) {
-                try {
-                    count = socket.getInputStream().read(bytes);
-                    if (count > 0) {
-                        handler.read(bytes, count);
-                    }
-                } catch (SocketTimeoutException e) {
-                    long since = writingSince;
-                    boolean stalled = since > 0 && clock.micros() - since > limits.writeStall();
-                    if (stalled || !handler.quiet()) {
+            long now = clock.micros();
+            long lastRead = now;
+            for (int count = 0; count >= 0 && dropped <= limits.lingerBytes(); now = clock.micros()) {
+                if (now >= due(handler, lastRead)) {
+                    if (isLost(now) || !finishing && !handler.quiet(now)) {
                         break;
                     }
+                    lastRead = now;
+                }
+                count = receive(bytes, due(handler, lastRead) - now);
+                if (count > 0 && lingerUntil == Long.MAX_VALUE) {
+                    lastRead = now;
+                    handler.read(bytes, count, clock.micros());
+                } else if (count > 0) {
+                    // A peer that sends on at full speed would take all of the core.
+                    dropped += count;
                 }
             }
         } catch (IOException e) {
@@ -159,6 +188,26 @@
         }
     }
 
+    private long due(Handler handler, long lastRead) {
+        return finishing ? Math.min(lastRead + limits.linger(), lingerUntil) : handler.due(lastRead);
+    }
+
+    /** Whether nothing is to be hoped for: this side has said its last, or the peer takes nothing. */
+    private boolean isLost(long now) {
+        long since = writingSince;
+        return now >= lingerUntil || since > 0 && now - since > limits.writeStall();
+    }
+
+    /** What has come, 0 bytes if nothing does in this time. */
+    private int receive(byte[] bytes, long most) throws IOException {
+        try {
+            socket.setSoTimeout((int) Math.max(1, Clock.toMillis(most)));
+            return socket.getInputStream().read(bytes);
+        } catch (SocketTimeoutException e) {
+            return 0;
+        }
+    }
+
     @Override
     public void begin(long now) {
         turn = now;
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -180,7 +180,7 @@
     }
 
     @Override
-    public void read(byte[] bytes, int count) {
+    public void read(byte[] bytes, int count, long now) {
         try {
             answers.feed(bytes, count);
             for (List<byte[]> parts = answers.next(); parts != null; parts = answers.next()) {
@@ -303,9 +303,14 @@
         core.ended(exchange.attempt, result);
     }
 
+    @Override
+    public long due(long lastRead) {
+        return lastRead + limits.idle();
+    }
+
     /** Decides and marks in one step, so that no attempt starts on a connection about to close. */
     @Override
-    public synchronized boolean quiet() {
+    public synchronized boolean quiet(long now) {
         over |= exchanges.isEmpty();
         return !over;
     }
--- a/src/main/java/cairnline/transport/SocketFront.java
+++ b/src/main/java/cairnline/transport/SocketFront.java
@@ -4,6 +4,7 @@
 import cairnline.routing.Core;
 import cairnline.routing.Limits;
 import java.net.Socket;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** What the fronts share: a listener whose sessions hand their requests to the core. */
 public abstract class SocketFront {
@@ -12,6 +13,7 @@
     private final Core core;
     private final Limits limits;
     private final Clock clock;
+    private final AtomicLong openBytes = new AtomicLong();
     private volatile boolean stopping;
 
     SocketFront(String name, Listener listener, Core core, Limits limits, Clock clock) {
@@ -45,6 +47,14 @@
         return listener.sessions().size();
     }
 
+    /**
+     * Counts bytes held for clients, or given back; false if they are too many. Each client is within its own limits
+     * where hundreds of them together would fill the memory.
+     */
+    boolean hold(long bytes) {
+        return openBytes.addAndGet(bytes) <= limits.openBytes();
+    }
+
     boolean isStopping() {
         return stopping;
     }
--- a/src/main/java/cairnline/transport/StandInEngine.java
+++ b/src/main/java/cairnline/transport/StandInEngine.java
@@ -62,7 +62,12 @@
         }
 
         @Override
-        public void read(byte[] bytes, int count) {
+        public void close() {
+            peer.close();
+        }
+
+        @Override
+        public void read(byte[] bytes, int count, long now) {
             try {
                 requests.feed(bytes, count);
                 for (HttpMessage m = requests.next(); m != null; m = requests.next()) {
@@ -77,7 +82,12 @@
         }
 
         @Override
-        public boolean quiet() {
+        public long due(long lastRead) {
+            return lastRead + limits.idle();
+        }
+
+        @Override
+        public boolean quiet(long now) {
             return false;
         }
 
--- a/src/test/java/cairnline/program/ODataWire.java
+++ b/src/test/java/cairnline/program/ODataWire.java
@@ -22,8 +22,18 @@
     static final ODataModel MODEL = new ODataModel(Map.of("Books",
             new ODataModel.EntitySet("Books", "lookup", "report", "load", "ID", "Edm.Int64", 17)));
     private static final String JSON = "application/json";
+    private final int mostClients;
     private ODataFront front;
 
+    ODataWire() {
+        this(Integer.MAX_VALUE);
+    }
+
+    /** A front that takes so many clients at once. */
+    ODataWire(int mostClients) {
+        this.mostClients = mostClients;
+    }
+
     @Override
     public EngineLink link(ListedEngine engine, Core core, Configuration configuration, Clock clock) {
         return new HttpLink(Configuration.address("dial", engine.address()), core, configuration.limits(), clock);
@@ -31,8 +41,8 @@
 
     @Override
     public int start(Core core, Configuration configuration, Clock clock) throws IOException {
-        Listener listener = new Listener(configuration.listen(), configuration.limits().clients(),
-                configuration.limits());
+        Listener listener = new Listener(configuration.listen(), Math.min(mostClients, configuration.limits().clients()),
+                configuration.limits(), clock);
         front = new ODataFront(listener, core, MODEL, configuration.patience(), configuration.limits(), clock);
         front.start();
         return listener.port();
--- a/src/test/java/cairnline/program/PlatformRulesTest.java
+++ b/src/test/java/cairnline/program/PlatformRulesTest.java
@@ -3,7 +3,7 @@
 /** The rule checks on this wire. */
 class PlatformRulesTest extends RuleChecks {
     @Override
-    Wire wire() {
-        return new PlatformWire();
+    Wire wire(int mostClients) {
+        return new PlatformWire(mostClients);
     }
 }
--- a/src/test/java/cairnline/program/PlatformWire.java
+++ b/src/test/java/cairnline/program/PlatformWire.java
@@ -21,8 +21,18 @@
 final class PlatformWire implements Wire {
     private final Map<Long, String> streams = new HashMap<>();
     private long lastStream;
+    private final int mostClients;
     private ClientFront front;
 
+    PlatformWire() {
+        this(Integer.MAX_VALUE);
+    }
+
+    /** A front that takes so many clients at once. */
+    PlatformWire(int mostClients) {
+        this.mostClients = mostClients;
+    }
+
     @Override
     public EngineLink link(ListedEngine engine, Core core, Configuration configuration, Clock clock) {
         return new RespLink(Configuration.address("dial", engine.address()), core, configuration.limits(), clock);
@@ -30,8 +40,8 @@
 
     @Override
     public int start(Core core, Configuration configuration, Clock clock) throws IOException {
-        Listener listener = new Listener(configuration.listen(), configuration.limits().clients(),
-                configuration.limits());
+        Listener listener = new Listener(configuration.listen(), Math.min(mostClients, configuration.limits().clients()),
+                configuration.limits(), clock);
         front = new ClientFront(listener, core, configuration.classes(), configuration.limits(), clock);
         front.start();
         return listener.port();
--- a/src/test/java/cairnline/program/PlatformWireTest.java
+++ b/src/test/java/cairnline/program/PlatformWireTest.java
@@ -148,6 +148,36 @@
                 client a expect - closed""");
     }
 
+    @Test
+    void halfAFrameIsAnsweredThoughItsClientStays() throws Exception {
+        play("""
+                client a raw 000000ff00
+                client a hear no whole frame in time
+                client a expect - failed
+                client a expect - closed""");
+    }
+
+    @Test
+    void whatCannotBeReadIsNotReadForEver() throws Exception {
+        play("""
+                client a raw ffffffff
+                client a flood""");
+    }
+
+    @Test
+    void theIdOfAnOpenRequestServesNoOther() throws Exception {
+        // Engines know requests by their id: two would share their answers.
+        String other = request(1, Map.of("op", "lookup", "ttl", "1000", "call", PlatformWire.id("r1")));
+        play("""
+                list e1 ready
+                client a send lookup r1
+                engine expect r1
+                client b raw %s
+                client b expect r1 failed
+                engine send r1 ok one
+                client a expect r1 served one""".formatted(other));
+    }
+
     @Test
     void fieldsThatCannotBeUsedFailTheirRequestOnly() throws Exception {
         play("""
--- a/src/test/java/cairnline/program/RuleChecks.java
+++ b/src/test/java/cairnline/program/RuleChecks.java
@@ -4,10 +4,11 @@
 
 /** The rules, told as scenarios; each wire's test runs them all unchanged. */
 abstract class RuleChecks {
-    abstract Wire wire();
+    /** A wire whose front takes so many clients at once. */
+    abstract Wire wire(int mostClients);
 
     private void play(String steps) throws Exception {
-        Scenario.play(wire(), steps);
+        Scenario.play(wire(Integer.MAX_VALUE), steps);
     }
 
     @Test
@@ -175,6 +176,31 @@
                 wait stopped""");
     }
 
+    @Test
+    void aClientThatSaysNothingIsLeftAndHarmsNobody() throws Exception {
+        play("""
+                list e1 ready
+                client b send lookup r1
+                engine expect r1
+                client a connect
+                client a expect - failed
+                client a expect - closed
+                engine send r1 ok one
+                client b expect r1 served one""");
+    }
+
+    @Test
+    void whereAllWaitForAnswersTheNewcomerIsTurnedAway() throws Exception {
+        Scenario.play(wire(1), """
+                list e1 ready
+                client a send lookup r1
+                engine expect r1
+                client b connect
+                client b hear too many connections
+                engine send r1 ok one
+                client a expect r1 served one""");
+    }
+
     @Test
     void whatWasTakenIsAnsweredAfterTheProgramIsToldToStop() throws Exception {
         play("""
--- a/src/test/java/cairnline/program/Scenario.java
+++ b/src/test/java/cairnline/program/Scenario.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
 import cairnline.control.ControlApi.Listed;
 import cairnline.routing.Clock;
@@ -16,6 +17,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -49,6 +51,8 @@
  * client a raw 0a0b               bytes as they are
  * client a text GET /..           the same as text, with \r\n written out
  * client a hear words             its connection brings these words, sooner or later
+ * client a connect                it connects and says nothing
+ * client a flood                  it writes until its connection ends
  * client a finish                 it sends no more but still listens
  * wait connections 0              so many clients are connected
  * wait stopped                    the program is told to stop and has answered all that it took
@@ -59,6 +63,8 @@
 final class Scenario implements AutoCloseable {
     private static final long LIMIT_S = 10;
     private static final long TTL_MS = 6_000;
+    /** Far more than the buffers of a connection take. */
+    private static final int FLOOD_BLOCKS = 4_096;
 
     private final Wire wire;
     private final Core core;
@@ -103,6 +109,8 @@
             case "client raw" -> client(w[1]).socket.getOutputStream().write(HexFormat.of().parseHex(w[3]));
             case "client text" -> client(w[1]).socket.getOutputStream().write(step.split(" ", 4)[3]
                     .replace("\\r\\n", "\r\n").getBytes(StandardCharsets.UTF_8));
+            case "client connect" -> client(w[1]);
+            case "client flood" -> flood(client(w[1]).socket, step);
             case "client hear" -> hear(clients.get(w[1]).text, step.split(" ", 4)[3]);
             case "client finish" -> client(w[1]).socket.shutdownOutput();
             case "engine send" -> holders.get(w[2].substring(w[2].indexOf('@') + 1)).getOutputStream()
@@ -143,6 +151,18 @@
         return client;
     }
 
+    private static void flood(Socket socket, String step) throws IOException {
+        byte[] block = new byte[65_536];
+        try {
+            for (int i = 0; i < FLOOD_BLOCKS; i++) {
+                socket.getOutputStream().write(block);
+            }
+        } catch (SocketException e) {
+            return;
+        }
+        fail("all of it was read: " + step);
+    }
+
     /** Words once heard are taken off, with all before them. */
     private static void hear(StringBuffer text, String words) {
         until(() -> text.indexOf(words) >= 0, words + " in " + text);
--- /dev/null
+++ b/src/test/java/cairnline/transport/ListenerTest.java
@@ -0,0 +1,119 @@
+package cairnline.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import cairnline.routing.Clock;
+import cairnline.routing.Limits;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Who goes where there is no room for one more. */
+class ListenerTest {
+    private static final long LONG_AGO = 1;
+    private static final long BUSY = Long.MAX_VALUE;
+
+    private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+
+    private final class Stub implements Listener.Session {
+        private final String name;
+        private final long idleSince;
+        private final boolean asked;
+
+        Stub(String name, long idleSince, boolean asked) {
+            this.name = name;
+            this.idleSince = idleSince;
+            this.asked = asked;
+        }
+
+        @Override
+        public void start(Runnable ended) {
+            events.add(name + " starts");
+        }
+
+        @Override
+        public void stopping() { }
+
+        @Override
+        public void flush(long most) { }
+
+        @Override
+        public void tooMany() {
+            events.add(name + " is turned away");
+        }
+
+        @Override
+        public long idleSince() {
+            return idleSince;
+        }
+
+        @Override
+        public boolean hasAsked() {
+            return asked;
+        }
+
+        @Override
+        public boolean retire() {
+            return idleSince < BUSY;
+        }
+
+        @Override
+        public void close() {
+            events.add(name + " is closed");
+        }
+    }
+
+    /** No limit matters here but that some are above 0. */
+    private static Limits limits() throws ReflectiveOperationException {
+        Object[] values = Arrays.stream(Limits.class.getRecordComponents())
+                .map(component -> component.getType() == int.class ? (Object) (1 << 16) : (Object) (1L << 16)).toArray();
+        return (Limits) Limits.class.getDeclaredConstructors()[0].newInstance(values);
+    }
+
+    /** What happens when the last of these comes and there is room for the others alone. */
+    private List<String> last(Stub... stubs) throws Exception {
+        Clock clock = new Clock();
+        Limits limits = limits();
+        Listener listener = new Listener(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                stubs.length - 1, limits, clock);
+        List<Stub> next = new ArrayList<>(List.of(stubs));
+        listener.start("test", socket -> next.remove(0));
+        List<String> seen = new ArrayList<>();
+        for (Stub stub : stubs) {
+            Socket socket = new Socket(InetAddress.getLoopbackAddress(), listener.port());
+            seen.clear();
+            while (seen.stream().noneMatch(event -> event.startsWith(stub.name))) {
+                seen.add(String.valueOf(events.poll(10, TimeUnit.SECONDS)));
+            }
+            socket.close();
+        }
+        listener.close();
+        return seen;
+    }
+
+    @Test
+    void theOneThatHasAskedNothingGivesWay() throws Exception {
+        assertEquals(List.of("silent is closed", "new starts"), last(new Stub("idle", LONG_AGO, true),
+                new Stub("silent", LONG_AGO + 1, false), new Stub("busy", BUSY, true), new Stub("new", BUSY, false)));
+    }
+
+    @Test
+    void elseTheOneThatIsIdleLongest() throws Exception {
+        assertEquals(List.of("idle is closed", "new starts"), last(new Stub("later", LONG_AGO + 1, true),
+                new Stub("idle", LONG_AGO, true), new Stub("new", BUSY, false)));
+    }
+
+    @Test
+    void noneGoesThatWaitsOrHasJustCome() throws Exception {
+        // One that has just come may have a request on its way.
+        assertEquals(List.of("new is turned away"), last(new Stub("busy", BUSY, true),
+                new Stub("fresh", BUSY - 1, false), new Stub("new", BUSY, false)));
+    }
+}
