Spread requests over connections, and end those that are spoilt, broken off or silent

Lines at fault: PooledLink.connection (first that will do), RespConnection.first/page (a second copy ended a good attempt as an error; 48,000 pages allowed), EngineMessage (NaN, unknown words), RespConnection.due/quiet (a connection on which an answer breaks off or nothing more comes was kept until the requests on it ran out of time). Changed: another connection from 4 requests on, the least loaded is taken; copies are ignored; pages must be rows of three columns of at most 6,000 bytes, at most 64 of them; a spoilt connection is over at once; one with half an answer is left after 0.5 s, one that tells nothing of what is out on it after 2.5 note periods and 0.2 s. OData carries one request on a connection and ends it when more comes than was asked for, so it suffers none of this but the wait. That resets make a healthy engine look ill is still so, only weaker: next.

--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -245,6 +245,12 @@
         return Math.min(CLIENTS_MOST, sockets * 5 / 8 - CLIENTS_SPARE);
     }
 
+    /** Engines tell of each request in every period; where they don't, silence says nothing. */
+    private static long silence(Fields fields) {
+        long period = fields.whole("specifics.notePeriodNs", 0) / NANOS_PER_MICRO;
+        return period == 0 ? Clock.ofMillis(3_600_000) : period * 5 / 2 + Clock.ofMillis(200);
+    }
+
     private static Limits limits(Map<String, Object> root, Fields fields) {
         Map<String, Object> told = root.containsKey("limits") ? object(root, "limits") : Map.of();
         int sockets = (int) whole(told, "limits.sockets", "sockets", SOCKETS_DEFAULT);
@@ -257,8 +263,9 @@
         return new Limits(4096, 256, 512 * 1024, 160 * 1024, clients(sockets), 32,
                 (int) Math.min(4096, fields.whole("permissions.maxOpen", 4096)), 8 << 20,
                 idleClose * 2 / 3, Clock.ofMillis(4_500), Clock.ofMillis(250), Clock.ofMillis(2_000), Clock.ofMillis(2_500),
-                Clock.ofMillis(500), 65_536, Clock.ofMillis(20_000), 262_144, 65_536, 48_000, 8,
-                (int) fields.whole("permissions.streamsPerConn", 100), connect, Clock.ofMillis(1_000), Clock.ofMillis(200),
+                Clock.ofMillis(500), 65_536, Clock.ofMillis(20_000), 262_144, 8_192, 6_000, 64, 48_000, 8,
+                (int) fields.whole("permissions.streamsPerConn", 100), 4, silence(fields),
+                Clock.ofMillis(500), connect, Clock.ofMillis(1_000), Clock.ofMillis(200),
                 Clock.ofMillis(2_300), 4 << 20, Clock.ofMillis(50), Clock.ofMillis(1_000), drainGrace / 2, Clock.ofMillis(1_000),
                 Clock.ofMillis(1_000), Clock.ofMillis(1_000), 24, 16_384, 1 << 20, 64, 100);
     }
--- a/src/main/java/cairnline/protocol/EngineMessage.java
+++ b/src/main/java/cairnline/protocol/EngineMessage.java
@@ -8,21 +8,43 @@
 /** An engine's answer: {@code ID WORD FIELDS BODY}. */
 public record EngineMessage(String id, Kind kind, Map<String, String> fields, byte[] body) {
     private static final int PARTS_LEAST = 2;
+    private static final int PARTS = 4;
+    private static final int COLUMNS = 3;
+    /** Above all that is counted here, in any unit. */
+    private static final double LARGEST = 1e12;
     private static final double MICROS_PER_MILLI = 1_000;
 
     /** What an answer says. */
-    public enum Kind { OK, FULL, ERROR, STALE, NOTE, PAGE, PROBE, UNKNOWN }
+    public enum Kind { OK, FULL, ERROR, STALE, NOTE, PAGE, PROBE }
 
     /** Reads the parts of an answer. */
     public static EngineMessage of(List<byte[]> parts) {
         if (parts.size() < PARTS_LEAST) {
             throw new ProtocolException("an answer needs an id and a word");
         }
-        Map<String, String> fields = parts.size() > 2 ? Resp.fields(text(parts.get(2))) : Map.of();
-        return new EngineMessage(text(parts.get(0)), kind(text(parts.get(1))), fields,
+        Kind kind = kind(text(parts.get(1)));
+        if (parts.size() < PARTS && (kind == Kind.OK || kind == Kind.PAGE)) {
+            throw new ProtocolException("an answer with rows needs a body");
+        }
+        return new EngineMessage(text(parts.get(0)), kind, parts.size() > 2 ? Resp.fields(text(parts.get(2))) : Map.of(),
                 parts.size() > 3 ? parts.get(3) : new byte[0]);
     }
 
+    /** Whether these are whole rows, as a page holds them: three columns with tabs between and a line feed each. */
+    public static boolean isRows(byte[] page) {
+        int tabs = 0;
+        for (byte b : page) {
+            if (b == '\t') {
+                tabs++;
+            } else if (b == '\n' && tabs == COLUMNS - 1) {
+                tabs = 0;
+            } else if (b == '\n' || b == 0) {
+                return false;
+            }
+        }
+        return page.length == 0 || page[page.length - 1] == '\n';
+    }
+
     private static Kind kind(String word) {
         return switch (word) {
             case "ACK" -> Kind.OK;
@@ -32,7 +54,7 @@
             case "EVENT" -> Kind.NOTE;
             case "BLOCK" -> Kind.PAGE;
             case "READY", "AILING" -> Kind.PROBE;
-            default -> Kind.UNKNOWN;
+            default -> throw new ProtocolException("no engine's word: " + word);
         };
     }
 
@@ -85,10 +107,14 @@
 
     private static double number(String value) {
         try {
-            return Double.parseDouble(value);
+            double number = Double.parseDouble(value);
+            if (number >= 0 && number < LARGEST) {
+                return number;
+            }
         } catch (NumberFormatException e) {
-            throw new ProtocolException("an answer's field holds no number: " + value);
+            // Told below, with all other values that can't be used.
         }
+        throw new ProtocolException("an answer's field holds no number: " + value);
     }
 
     private static String text(byte[] part) {
--- a/src/main/java/cairnline/protocol/Resp.java
+++ b/src/main/java/cairnline/protocol/Resp.java
@@ -61,6 +61,11 @@
         return whole;
     }
 
+    /** Whether an array has begun and not ended. */
+    public boolean partial() {
+        return missing >= 0 || bytes.size() > 0;
+    }
+
     /** Reads a mark and a number on a line of its own; -1 if the line is not there yet. */
     private int number(char mark, int most) {
         int end = bytes.indexOf('\n', 0);
--- a/src/main/java/cairnline/routing/Limits.java
+++ b/src/main/java/cairnline/routing/Limits.java
@@ -21,9 +21,14 @@
  * @param writeStall a peer that takes nothing for so long is closed
  * @param frame longest client frame
  * @param part largest part of an engine's answer
+ * @param page largest page of a result
+ * @param pages most pages of a result
  * @param result largest result
  * @param engineConnections connections to one engine
  * @param engineStreams open requests on one connection to an engine
+ * @param streamsSpread from so many on another connection is opened: one that ends takes all that is open on it along
+ * @param silence a connection with requests open that tells nothing for so long is closed
+ * @param partialAnswer one on which an answer has begun and not ended by then is closed
  * @param connect a connection that is not up by then has failed
  * @param feedConnect a control feed that is not up by then is tried again
  * @param feedPause between attempts to reach the control feed
@@ -43,7 +48,7 @@
  */
 public record Limits(int coreMailbox, int peerMailbox, int coreStack, int peerStack, int clients, int openPerClient,
                      int openRequests, long openBytes, long idle, long clientIdle, long evictable, long firstMessage,
-                     long wholeMessage, long linger, int lingerBytes, long writeStall, int frame, int part, int result,
-                     int engineConnections, int engineStreams, long connect, long feedConnect, long feedPause,
+                     long wholeMessage, long linger, int lingerBytes, long writeStall, int frame, int part, int page, int pages, int result,
+                     int engineConnections, int engineStreams, int streamsSpread, long silence, long partialAnswer, long connect, long feedConnect, long feedPause,
                      long feedSilence, int feedLine, long answerMargin, long orderPacing, long drainGrace, long stopTaking, long flush,
                      long retryAfter, int httpConnections, int httpHead, int httpBody, int httpPages, int batch) { }
--- a/src/main/java/cairnline/transport/HttpLink.java
+++ b/src/main/java/cairnline/transport/HttpLink.java
@@ -26,7 +26,7 @@
 
     @Override
     public boolean send(Attempt attempt) {
-        HttpConnection connection = connection(HttpConnection::isFree, () -> {
+        HttpConnection connection = connection(HttpConnection::isFree, free -> 0, 1, () -> {
             // Connecting comes first: the request's letter must find the socket up.
             HttpConnection opened = new HttpConnection(this, address, core, limits, clock);
             opened.connect();
--- a/src/main/java/cairnline/transport/PooledLink.java
+++ b/src/main/java/cairnline/transport/PooledLink.java
@@ -3,9 +3,11 @@
 import cairnline.routing.Attempt;
 import cairnline.routing.EngineLink;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 
 /** What the links share: connections opened as needed, and the time after which nothing new may leave. */
 abstract class PooledLink<C extends PooledLink.Connection> implements EngineLink {
@@ -27,16 +29,15 @@
         this.most = most;
     }
 
-    /** The first connection that will do, or a new one; null if there are too many. */
-    final C connection(Predicate<C> willDo, Supplier<C> open) {
+    /**
+     * The connection with the least on it of those that will do; a new one if that is too much, as long as there may
+     * be more; null if there is none.
+     */
+    final C connection(Predicate<C> willDo, ToIntFunction<C> load, int tooMuch, Supplier<C> open) {
         connections.removeIf(Connection::isOver);
-        for (C connection : connections) {
-            if (willDo.test(connection)) {
-                return connection;
-            }
-        }
-        if (connections.size() >= most) {
-            return null;
+        C least = connections.stream().filter(willDo).min(Comparator.comparingInt(load)).orElse(null);
+        if (least != null && load.applyAsInt(least) < tooMuch || connections.size() >= most) {
+            return least;
         }
         C opened = open.get();
         connections.add(opened);
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -26,7 +26,7 @@
  * the core is never called under that lock, since its mailbox may be full.
  */
 final class RespConnection implements Peer.Handler, PooledLink.Connection {
-    private static final int ANSWER_PARTS = 8;
+    private static final int ANSWER_PARTS = 4;
     private static final String PROBE_TAG = "probe-";
 
     private final RespLink link;
@@ -47,6 +47,9 @@
     private final Map<String, Consumer<Map<String, Double>>> probes = new HashMap<>();
     private long probeCount;
     private boolean over;
+    /** When something was last written that the engine must answer or tell of. */
+    private long askedAt;
+    private long heardAt;
 
     RespConnection(RespLink link, Core core, Limits limits, Clock clock) {
         this.link = link;
@@ -54,6 +57,7 @@
         this.limits = limits;
         this.peer = new Peer("engine", new Socket(), limits, clock);
         this.answers = new Resp(ANSWER_PARTS, limits.part());
+        this.heardAt = clock.micros();
     }
 
     /** An attempt on this connection, with the pages that have come. */
@@ -81,6 +85,11 @@
         return over;
     }
 
+    /** How many requests are open here. */
+    synchronized int load() {
+        return exchanges.size();
+    }
+
     /** Whether a request with this id may start here; the id stays taken until its engine has answered. */
     synchronized boolean hasRoom(String id) {
         return !over && exchanges.size() < limits.engineStreams() && !exchanges.containsKey(id)
@@ -115,6 +124,7 @@
                 return null;
             }
             exchange.written = allowed;
+            askedAt = now;
             if (!allowed) {
                 exchanges.remove(request.id());
             }
@@ -181,26 +191,30 @@
 
     @Override
     public void read(byte[] bytes, int count, long now) {
+        synchronized (this) {
+            heardAt = now;
+        }
+        answers.feed(bytes, count);
         try {
-            answers.feed(bytes, count);
             for (List<byte[]> parts = answers.next(); parts != null; parts = answers.next()) {
                 take(EngineMessage.of(parts));
             }
         } catch (ProtocolException e) {
             // What follows can't be told apart any more; the end of the connection ends what is out on it.
+            synchronized (this) {
+                over = true;
+            }
             close();
         }
     }
 
     private void take(EngineMessage message) {
-        if (message.kind() == EngineMessage.Kind.PROBE) {
-            Consumer<Map<String, Double>> answer;
-            synchronized (this) {
-                answer = probes.remove(message.id());
-            }
-            if (answer != null) {
-                answer.accept(message.report());
-            }
+        Consumer<Map<String, Double>> probe;
+        synchronized (this) {
+            probe = message.kind() == EngineMessage.Kind.PROBE ? probes.remove(message.id()) : null;
+        }
+        if (probe != null) {
+            probe.accept(message.report());
             return;
         }
         Exchange exchange;
@@ -217,7 +231,7 @@
             case ERROR -> end(exchange, Attempt.Result.of(End.ERROR));
             case STALE -> end(exchange, Attempt.Result.of(End.NOT_SENT));
             case NOTE -> note(exchange.attempt, message);
-            default -> { }
+            case PROBE -> throw new ProtocolException("a probe's word for a request");
         }
     }
 
@@ -225,10 +239,13 @@
     private void first(Exchange exchange, EngineMessage message) {
         String id = exchange.attempt.request().id();
         int pages = message.pages();
-        if (exchange.pages != null || pages < 1 || pages > limits.result()) {
-            end(exchange, Attempt.Result.of(End.ERROR));
+        if (exchange.pages != null) {
+            // A second copy takes nothing from the first.
             return;
         }
+        if (pages < 1 || pages > limits.pages()) {
+            throw new ProtocolException("an answer of " + pages + " pages");
+        }
         exchange.pages = new byte[pages][];
         exchange.work = message.workMicros();
         exchange.memory = message.memory();
@@ -248,8 +265,11 @@
 
     private void page(Exchange exchange, EngineMessage message) {
         int page = message.page();
-        if (exchange.pages == null || page < 1 || page >= exchange.pages.length || exchange.pages[page] != null) {
-            end(exchange, Attempt.Result.of(End.ERROR));
+        if (exchange.pages == null || page < 1 || page >= exchange.pages.length) {
+            throw new ProtocolException("page " + page + " was not asked for");
+        } else if (exchange.pages[page] != null) {
+            // A second copy takes nothing from the first.
+            return;
         } else if (!exchange.attempt.wanted()) {
             forget(exchange, Attempt.Result.of(End.OK));
         } else {
@@ -259,6 +279,9 @@
 
     /** Keeps a page; the answer is whole only with the last of them, in their order. */
     private void put(Exchange exchange, int page, byte[] rows) {
+        if (rows.length > limits.page() || !EngineMessage.isRows(rows)) {
+            throw new ProtocolException("page " + page + " holds what are no rows");
+        }
         exchange.pages[page] = rows;
         exchange.missing = page == 0 ? exchange.pages.length - 1 : exchange.missing - 1;
         exchange.size += rows.length;
@@ -305,13 +328,17 @@
 
     @Override
     public long due(long lastRead) {
-        return lastRead + limits.idle();
+        return lastRead + (answers.partial() ? limits.partialAnswer() : Math.min(limits.idle(), limits.silence()));
     }
 
-    /** Decides and marks in one step, so that no attempt starts on a connection about to close. */
+    /**
+     * Decides and marks in one step, so that no attempt starts on a connection about to close. One on which an answer
+     * breaks off, or an engine that should tell of what it runs says nothing, is of no use to what is out on it.
+     */
     @Override
     public synchronized boolean quiet(long now) {
-        over |= exchanges.isEmpty();
+        long still = now - Math.max(askedAt, heardAt);
+        over |= answers.partial() || still >= (exchanges.isEmpty() ? limits.idle() : limits.silence());
         return !over;
     }
 
--- a/src/main/java/cairnline/transport/RespLink.java
+++ b/src/main/java/cairnline/transport/RespLink.java
@@ -35,7 +35,7 @@
      * same id, could be taken for the answer to this one.
      */
     private RespConnection connection(String id) {
-        return connection(known -> known.hasRoom(id), () -> {
+        return connection(known -> known.hasRoom(id), RespConnection::load, limits.streamsSpread(), () -> {
             RespConnection opened = new RespConnection(this, core, limits, clock);
             opened.connect(address);
             return opened;
--- a/src/test/java/cairnline/program/PlatformWire.java
+++ b/src/test/java/cairnline/program/PlatformWire.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -105,8 +106,10 @@
     @Override
     public byte[] reply(String name, String outcome, String row) {
         return switch (outcome) {
-            case "ok" -> Resp.words(id(name), "ACK", "parts=1,work=20.0,peak=8", row + "\n");
+            case "ok" -> Resp.words(id(name), "ACK", "parts=1,work=20.0,peak=8", row + "\t\t\n");
             case "full" -> Resp.words(id(name), "AGAIN", "-", "");
+            case "noise" -> (row + "\r\n").getBytes(StandardCharsets.UTF_8);
+            case "half" -> Arrays.copyOf(Resp.words(id(name), "ACK", "parts=1", row + "\t\t\n"), 30);
             case "error" -> Resp.words(id(name), "EIO", "-", "");
             default -> page(name, outcome.split(":"), row);
         };
@@ -114,8 +117,8 @@
 
     /** {@code pages:3} answers well with page 0 of 3, {@code page:1} is a further page. */
     private static byte[] page(String name, String[] which, String row) {
-        return which[0].equals("pages") ? Resp.words(id(name), "ACK", "parts=" + which[1], row + "\n")
-                : Resp.words(id(name), "BLOCK", "part_no=" + which[1], row + "\n");
+        return which[0].equals("pages") ? Resp.words(id(name), "ACK", "parts=" + which[1], row + "\t\t\n")
+                : Resp.words(id(name), "BLOCK", "part_no=" + which[1], row + "\t\t\n");
     }
 
     @Override
@@ -129,7 +132,7 @@
                     int code = frame.payload()[0];
                     String body = new String(frame.payload(), 2, frame.payload().length - 2, StandardCharsets.UTF_8);
                     heard.add(new Heard(streams.getOrDefault(frame.stream(), "-"),
-                            code == 1 ? "served" : code == 0 ? "refused" : "failed", body.strip().replace('\n', '|')));
+                            code == 1 ? "served" : code == 0 ? "refused" : "failed", body.replace("\t", "").strip().replace('\n', '|')));
                 } else if (frame.type() == ClientFrames.READY_ANSWER) {
                     heard.add(new Heard("-", "ready" + frame.payload()[0], "-"));
                 }
--- a/src/test/java/cairnline/program/PlatformWireTest.java
+++ b/src/test/java/cairnline/program/PlatformWireTest.java
@@ -29,6 +29,48 @@
                 client a expect r1 served a|b|c""");
     }
 
+    @Test
+    void aSecondCopyOfAnAnswerOrAPageIsNoError() throws Exception {
+        play("""
+                list e1 ready
+                client a send lookup r1
+                engine expect r1
+                engine send r1 pages:3 a
+                engine hear r1 page
+                engine hear r1 page
+                engine send r9 ok foreign
+                engine send r1 pages:3 a
+                engine send r1 page:1 b
+                engine send r1 page:1 b
+                engine send r1 page:2 c
+                client a expect r1 served a|b|c""".replace("send r9", "send r9@r1"));
+    }
+
+    @Test
+    void whatIsSpoiltIsNotPassedOnAndItsConnectionNotUsedFurther() throws Exception {
+        for (String spoilt : new String[] {"noise x", "pages:900 a", "page:1 b", "ok a\tb\tc", "half a"}) {
+            play("""
+                    list e1 ready
+                    client a send lookup r1
+                    engine expect r1
+                    engine send r1 %s
+                    engine expect r1
+                    engine send r1 ok good
+                    client a expect r1 served good""".formatted(spoilt));
+        }
+    }
+
+    @Test
+    void aConnectionOnWhichAnEngineTellsNothingIsLeft() throws Exception {
+        // Notes are due every second for each request that runs: without any of them its answer will not come either,
+        // and what is too late for another attempt is answered long before its time is up.
+        play("""
+                list e1 ready
+                client a send load r1 k 20000
+                engine expect r1 key-of-r1
+                client a expect r1 refused""");
+    }
+
     @Test
     void aLostPageIsAnErrorThatMayHaveRun() throws Exception {
         play("""
--- a/src/test/java/cairnline/protocol/RespTest.java
+++ b/src/test/java/cairnline/protocol/RespTest.java
@@ -1,8 +1,10 @@
 package cairnline.protocol;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -48,6 +50,34 @@
         assertEquals("-", Resp.fields(Map.of()));
     }
 
+    @Test
+    void whatIsNoAnswerIsRejectedThoughItsLengthsFit() {
+        String[][] bad = {{"1", "ACK", "parts=1"}, {"1", "NOISE", "-", ""}, {"1"}, {"1", "ACK", "parts=1,work", ""}};
+        for (String[] words : bad) {
+            assertThrows(ProtocolException.class, () -> message(words), String.join(" ", words));
+        }
+        for (String number : new String[] {"many", "NaN", "-1", "1e300", "Infinity", ""}) {
+            assertThrows(ProtocolException.class, () -> message("1", "ACK", "parts=" + number, "").pages(), number);
+        }
+    }
+
+    @Test
+    void rowsAreWholeAndHaveThreeColumns() {
+        for (String rows : new String[] {"", "a\tb\tc\n", "\t\t\n\t\t\n"}) {
+            assertTrue(EngineMessage.isRows(rows.getBytes(StandardCharsets.UTF_8)), rows);
+        }
+        for (String rows : new String[] {"a", "a\tb\tc", "a\tb\n", "a\tb\tc\td\n", "a\tb\tc\n\n", "a\tb\0\tc\n"}) {
+            assertFalse(EngineMessage.isRows(rows.getBytes(StandardCharsets.UTF_8)), rows);
+        }
+    }
+
+    private static EngineMessage message(String... words) {
+        Resp resp = new Resp(4, 100);
+        byte[] bytes = Resp.words(words);
+        resp.feed(bytes, bytes.length);
+        return EngineMessage.of(resp.next());
+    }
+
     @Test
     void theSchemaGroupIsFoundWhereStatementsHideIt() {
         Map<String, Integer> groups = Map.of(
