Give a connection one thread, not two: under the CPU limit each thread costs at every stop

A trace of keyed requests: the one written first, on a new connection, was read 0.58 s after the one written later, 243 ms of it inside its reading thread. One node then spent its whole half core for 17 s, 85% of it system time, spread over all of its 500 threads, the JVM's idle ones too. Checked: /proc shows the process in state T up to 314 times in 20 s, so the CPU limit is kept by stopping and continuing it, which the kernel does thread by thread; once it is throttled, hundreds of threads keep it so. Lines at fault: Peer.writer (a thread of its own for each connection); Configuration.clients (216 of 384 descriptors). Changed: Outbox, an actor on shared threads that are kept for 2 s; clients get a third of the descriptors and 24.

--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -240,9 +240,9 @@
         return limits(Map.of(), Fields.of(Map.of()));
     }
 
-    /** Room for clients: engines, the feed, files and the JVM need the rest, which is some 70 of the fewest told. */
+    /** Room for clients: a third of the sockets is theirs to hold, and some may be about to go. */
     private static int clients(int sockets) {
-        return Math.min(CLIENTS_MOST, sockets * 5 / 8 - CLIENTS_SPARE);
+        return Math.min(CLIENTS_MOST, sockets / 3 + CLIENTS_SPARE);
     }
 
     /** Engines tell of each request in every period; where they don't, silence says nothing. */
--- a/src/main/java/cairnline/routing/Actor.java
+++ b/src/main/java/cairnline/routing/Actor.java
@@ -91,7 +91,7 @@
     }
 
     /** One bad letter must not end the actor, and with it all that waits for it. */
-    private static void guarded(Runnable task) {
+    public static void guarded(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException | OutOfMemoryError e) {
--- a/src/main/java/cairnline/transport/Peer.java
+++ b/src/main/java/cairnline/transport/Peer.java
@@ -1,6 +1,5 @@
 package cairnline.transport;
 
-import cairnline.routing.Actor;
 import cairnline.routing.Clock;
 import cairnline.routing.Limits;
 import java.io.IOException;
@@ -9,27 +8,24 @@
 import java.net.SocketTimeoutException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * One connection: a thread that reads it, and an actor that writes what is left in its mailbox. Nobody but these two
- * waits for the peer.
+ * One connection: a thread that reads it, and an outbox for what is written. Nobody but the threads of these two waits
+ * for the peer.
  */
-final class Peer implements Actor.Turns {
+final class Peer {
     private static final int READ_SIZE = 8192;
 
     private final Socket socket;
     private final Limits limits;
     private final Clock clock;
     private final String name;
-    private final Actor writer;
-    private final AtomicBoolean writes = new AtomicBoolean();
+    private final Outbox outbox;
     private volatile long writingSince;
     /** Once this side has said its last; never before. */
     private volatile long lingerUntil = Long.MAX_VALUE;
     /** It will say its last as soon as that can leave; the handler is asked no more. */
     private volatile boolean finishing;
-    private long turn;
 
     /** What is done with a peer's bytes. */
     interface Handler {
@@ -56,17 +52,17 @@
         this.socket = socket;
         this.limits = limits;
         this.clock = clock;
-        this.writer = new Actor(name + "-out", limits.peerMailbox(), 1, limits.peerStack(), clock, this);
+        this.outbox = new Outbox(limits.peerMailbox(), Threads.shared(limits.peerStack()));
     }
 
-    /** Serves a connection that is up; one to which nothing is said needs no thread that writes. */
+    /** Serves a connection that is up. */
     void start(Handler handler) {
         Threads.start(name, limits.peerStack(), () -> read(handler));
     }
 
     /** Connects first; letters wait for that. */
     void connect(InetSocketAddress address, Handler handler) {
-        leave(() -> {
+        outbox.offer(() -> {
             try {
                 socket.connect(address, (int) Clock.toMillis(limits.connect()));
                 socket.setTcpNoDelay(true);
@@ -78,16 +74,12 @@
         });
     }
 
-    private boolean leave(Runnable letter) {
-        if (writes.compareAndSet(false, true)) {
-            writer.start();
-        }
-        return writer.offer(letter);
-    }
-
     /** Leaves a letter; false if the mailbox is full. */
     boolean offer(Letter letter) {
-        return leave(() -> write(letter.bytes(turn)));
+        return outbox.offer(() -> {
+            long now = clock.micros();
+            write(letter.bytes(now), now);
+        });
     }
 
     /** Leaves bytes to be written; a peer that lets its mailbox fill is closed. */
@@ -100,7 +92,7 @@
     /** Waits until all that was left has been written, this long at most. */
     void flush(long most) {
         CountDownLatch written = new CountDownLatch(1);
-        if (leave(written::countDown)) {
+        if (outbox.offer(written::countDown)) {
             try {
                 written.await(most, TimeUnit.MICROSECONDS);
             } catch (InterruptedException e) {
@@ -122,10 +114,10 @@
     /** Says no more once what is left has been written; closing at once could lose it on the way. */
     void finish() {
         finishing = true;
-        boolean left = leave(() -> {
+        boolean left = outbox.offer(() -> {
             try {
                 socket.shutdownOutput();
-                lingerUntil = turn + limits.linger();
+                lingerUntil = clock.micros() + limits.linger();
             } catch (IOException e) {
                 close();
             }
@@ -136,16 +128,16 @@
     }
 
     void close() {
-        writer.stop();
+        outbox.stop();
         Threads.close(socket);
     }
 
-    private void write(byte[] bytes) {
+    private void write(byte[] bytes, long now) {
         if (bytes == null) {
             return;
         }
         try {
-            writingSince = turn;
+            writingSince = now;
             socket.getOutputStream().write(bytes);
             writingSince = 0;
         } catch (IOException e) {
@@ -207,14 +199,4 @@
             return 0;
         }
     }
-
-    @Override
-    public void begin(long now) {
-        turn = now;
-    }
-
-    @Override
-    public long end(long now) {
-        return Long.MAX_VALUE;
-    }
 }
--- a/src/main/java/cairnline/transport/Threads.java
+++ b/src/main/java/cairnline/transport/Threads.java
@@ -2,9 +2,18 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 
 /** Platform threads with small stacks, and quiet closing. */
 final class Threads {
+    private static final int KEPT_S = 2;
+    private static final Map<Integer, Executor> SHARED = new ConcurrentHashMap<>();
+
     private Threads() { }
 
     static void start(String name, int stackBytes, Runnable task) {
@@ -13,6 +22,16 @@
         thread.start();
     }
 
+    /** Threads that are kept for a little while and used again. */
+    static Executor shared(int stackBytes) {
+        return SHARED.computeIfAbsent(stackBytes, size -> new ThreadPoolExecutor(0, Integer.MAX_VALUE, KEPT_S,
+                TimeUnit.SECONDS, new SynchronousQueue<>(), task -> {
+                    Thread thread = new Thread(null, task, "shared", size);
+                    thread.setDaemon(true);
+                    return thread;
+                }));
+    }
+
     static void close(Closeable closeable) {
         try {
             closeable.close();
