Ask engines for their load, and judge their health by what speaks of them alone

Seen: the module never sent a probe, and on this platform load reports come by probes only, so the age of its reports was without bound: it knew of other workload managers by its own slowness alone. Lines at fault: Control.judge (each attempt of a lost connection, each error), Control (no probe). Changed: each engine is probed every second, one that may not be there every 250 ms; Health tells whether an engine is there (losses within 200 ms count once, any answer clears it) from whether it does its work (an error counts once another engine has served the request); a request failed by three engines is at fault itself. A connection on which a probe stays unanswered is left like one on which requests do. OData's engines have no words for load or notes: its core is told so, or their silence would count. The second kept back for keyed requests is gone: late loads earn half, and an unanswered one is not lost any more. The window of further attempts is kept only where they are rationed (it grew for ever).

--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -63,26 +63,18 @@
     private static final double SHARE_GAIN = 0.03;
     /** Own threads at which they say as much of all fronts' threads as reports do; about one query's. */
     private static final double OWN_FEW = 2;
-    /** Weight of a report in what all say together: some ten reports, few enough to be recent. */
-    private static final double FLEET_GAIN = 0.1;
-    /** Silence after which what all say together counts half. */
-    private static final long FLEET_LIFE = 2 * SECOND;
     /** Threads of a query before this front has sent any. */
     private static final double THREADS_PRIOR = 1.5;
     /** The start chance falls from 1 at the mark to 0 at the mark plus this share of it. */
     private static final double MARK_FALL = 0.5;
     /** Engines looked at for a query: fronts that all took the best of all would take the same. */
     private static final int SAMPLE = 12;
-    /** Odds that an engine is sick before anything is seen, and at most; past even it is passed over. */
-    private static final double SICK_PRIOR = 0.05, SICK_SURE = 4;
-    /** Part of its attempts that a sick engine fails, and what well ones fail at least. */
-    private static final double SICK_FAILS = 0.6, FAILS_LEAST = 0.03;
-    /** Weight of the newest outcome in how often attempts fail anywhere. */
-    private static final double FAIL_GAIN = 0.05;
     /** Periods of notes after which an attempt counts as silent; one and a half pass where all is well. */
     private static final double SILENT_NOTES = 1.6;
-    /** Time after which what was seen of an engine's health counts half. */
-    private static final long SICK_LIFE = 4 * SECOND;
+    /** Engines at which a request fails before it is taken to be at fault itself. */
+    private static final int ERRORS_MOST = 3;
+    /** Time between probes of an engine, and of one that may not be there any more. */
+    private static final long PROBE_EVERY = SECOND, PROBE_LOST = 250 * MS;
     /** Part of the rule's multiple that all fronts send a cold engine; two draws at once leave a fifth. */
     private static final double COLD_FILL = 0.4;
     /** A query above this part of what a cold engine can do in a window waits until the engine is warmer. */
@@ -110,7 +102,7 @@
     private static final long SHARE_WINDOW = 3 * SECOND;
     /** Sizes, in class means, are held between these: estimates are rough. */
     private static final double SIZE_LEAST = 0.3, SIZE_MOST = 40;
-    private static final long TIMER_SWEEP = 1;
+    private static final long TIMER_SWEEP = 1, TIMER_PROBE = 2;
 
     private final Settings settings;
     private final Actions out;
@@ -131,7 +123,8 @@
     private final Set<Attempt> sent = new LinkedHashSet<>();
     private long now, sequence, markedAt, awakeAt;
     private long wakeAt = Long.MAX_VALUE;
-    private double mark = MARK, failRate = FAILS_LEAST;
+    private double mark = MARK;
+    private final Health.Usual usual = new Health.Usual();
 
     /** Starts a front's decisions; {@code seed} feeds all random draws. */
     public Control(Settings settings, long seed, long now, Actions out) {
@@ -147,6 +140,9 @@
         if (settings.follow()) {
             out.follow();
         }
+        if (settings.permissions().probes()) {
+            out.wake(PROBE_LOST, TIMER_PROBE);
+        }
     }
 
     // ---- The rules: every send passes here, every request is closed here ----
@@ -354,12 +350,12 @@
         for (int i = 0, seen = 0; i < ranked.size() && seen < SAMPLE; i++) {
             Collections.swap(ranked, i, i + random.nextInt(ranked.size() - i));
             Host h = ranked.get(i);
-            if (!evenSick && (h == q.avoid || h.odds(now) > 1) || !maySend(q, h)) {
+            if (!evenSick && (h == q.avoid || h.health.odds(now) > 1) || !maySend(q, h)) {
                 continue;
             }
             seen++;
             double prediction = predict(q, h);
-            double rank = prediction * (1 + h.odds(now));
+            double rank = prediction * (1 + h.health.odds(now));
             boolean room = h.fill(q.kin.type.threads(), now, mark) <= 1;
             if (best == null || (room == roomy ? rank < least : room)) {
                 least = rank;
@@ -401,7 +397,9 @@
         unsent.remove(q);
         q.kin.held.remove(q);
         if (!q.attempts.isEmpty()) {
-            extra.add(now, 1);
+            if (settings.rules().spareAttempts() >= 0) {
+                extra.add(now, 1);
+            }
         } else {
             q.kin.wait += CLASS_GAIN * (now - q.arrivedAt - q.kin.wait);
         }
@@ -478,7 +476,9 @@
     @Override
     public void timer(long time, long handle) {
         tick(time);
-        if (handle == TIMER_SWEEP && now >= wakeAt) {
+        if (handle == TIMER_PROBE) {
+            probe();
+        } else if (handle == TIMER_SWEEP && now >= wakeAt) {
             awakeAt = now > wakeAt + SWEEP ? now : awakeAt;
             wakeAt = Long.MAX_VALUE;
             new ArrayList<>(sent).forEach(this::watch);
@@ -498,7 +498,7 @@
         double silence = now - Math.max(a.heardAt, awakeAt);
         if (settings.notePeriod() > 0 && silence > SILENT_NOTES * settings.notePeriod()) {
             a.heardAt = now;
-            judge(a.host, End.TIMEOUT);
+            a.host.health.lost(now);
             if (mayGiveUp(a.query)) {
                 out.cancel(a.query.id, a.number);
             }
@@ -568,7 +568,7 @@
     /** A further attempt where it is allowed and pays, now or when there is room; else the final answer. */
     private void tryAgain(Query q, Attempt failed) {
         q.avoid = failed.spilt ? null : failed.host;
-        if (now >= q.deadline - ANSWER_MARGIN) {
+        if (now >= q.deadline - ANSWER_MARGIN || q.errors >= ERRORS_MOST) {
             close(q, false);
             return;
         }
@@ -579,9 +579,7 @@
     private void learn(Attempt a, Outcome o) {
         Host h = a.host;
         h.report(o.load(), o.end() == End.FULL || o.end() == End.TIMEOUT && a.endsAt > now, now);
-        if (o.end() != End.TIMEOUT || settings.notePeriod() == 0) {
-            judge(h, o.end());
-        }
+        judge(a, o.end());
         if (o.end() != End.OK) {
             return;
         }
@@ -625,19 +623,47 @@
     }
 
     /**
-     * Health: the odds that an engine is sick, by Bayes from this front's outcomes there against how often
-     * attempts fail anywhere. Past even odds it is passed over until that fades. Answers
-     * failing, hung or dead engines, listed or not, and leaves the fleet in use where all lose some answers.
-     * Could harm where all engines fail: then the choice falls back to all of them.
+     * An error counts against its engine once another one has served the request: what no engine can use says
+     * nothing of them. Could harm where all engines fail: then none is told apart.
      */
-    private void judge(Host h, End end) {
-        if (end == End.FULL || end == End.CANCELLED || end == End.NOT_SENT) {
-            return;
+    private void judge(Attempt a, End end) {
+        Host h = a.host;
+        Query q = a.query;
+        if (end == End.ERROR) {
+            h.health.answered();
+            q.errors++;
+            q.failedBy = q.failedBy == null ? h : q.failedBy;
+        } else if (end == End.OK) {
+            h.health.served(usual, now);
+            if (q.failedBy != null && q.failedBy != h) {
+                q.failedBy.health.failed(usual, now);
+            }
+        } else if (end == End.CONNECT_FAILED || end == End.RESET
+                || end == End.TIMEOUT && settings.notePeriod() == 0) {
+            h.health.lost(now);
+        }
+    }
+
+    /** Asks engines for their load in turn, and one that may not be there any more whether it is. */
+    private void probe() {
+        for (Host h : hosts.values()) {
+            boolean lost = h.health.odds(now) > 0.5;
+            if (h.listed == Listed.READY && now >= h.probedAt + (lost ? PROBE_LOST : PROBE_EVERY)) {
+                h.probedAt = now;
+                out.probe(h.id);
+            }
+        }
+        out.wake(PROBE_LOST, TIMER_PROBE);
+    }
+
+    @Override
+    public void probed(long time, String engine, boolean ok, long rtt, Load load) {
+        tick(time);
+        Host h = hosts.get(engine);
+        if (h != null && ok) {
+            h.health.answered();
+            h.report(load, false, now);
         }
-        boolean ok = end == End.OK;
-        h.learnHealth(end == End.CONNECT_FAILED ? SICK_SURE
-                : ok ? (1 - SICK_FAILS) / (1 - failRate) : SICK_FAILS / failRate, now);
-        failRate += FAIL_GAIN * ((ok ? FAILS_LEAST : SICK_FAILS) - failRate);
     }
 
     @Override
@@ -877,31 +903,13 @@
         }
     }
 
-    /** What recent reports of all engines of one kind say together, and what this front has out there. */
-    private static final class Fleet {
-        double perCore, meanThreads, meanAttempts;
-        int threads, attempts;
-        long heardAt;
-
-        void hear(double othersPerCore, long now) {
-            perCore += FLEET_GAIN * (othersPerCore - perCore);
-            meanThreads += FLEET_GAIN * (threads - meanThreads);
-            meanAttempts += FLEET_GAIN * (attempts - meanAttempts);
-            heardAt = now;
-        }
-
-        /** Fades when nothing is heard: engines that all seem full get no queries and so send no reports. */
-        double others(long now) {
-            return perCore / (1 + (double) (now - heardAt) / FLEET_LIFE);
-        }
-    }
-
     /** What this front makes of an engine. */
     static final class Host extends EngineState {
         final Fleet fleet;
         final List<Predictor> predictors = new ArrayList<>();
-        long reportedAt, drawnUntil, judgedAt;
-        double sick = SICK_PRIOR, foreignThreads, share, draw;
+        Health health = new Health();
+        long reportedAt, drawnUntil, probedAt;
+        double foreignThreads, share, draw;
 
         Host(Engine e, Settings settings, Fleet fleet) {
             super(e, settings.kinds().get(e.kind()));
@@ -910,20 +918,10 @@
             settings.types().forEach(type -> predictors.add(new Predictor()));
         }
 
-        /** What was seen fades, so that an engine is tried again. */
-        double odds(long now) {
-            return SICK_PRIOR + (sick - SICK_PRIOR) / (1 + (double) (now - judgedAt) / SICK_LIFE);
-        }
-
-        void learnHealth(double factor, long now) {
-            sick = Math.max(SICK_PRIOR, Math.min(SICK_SURE, odds(now) * factor));
-            judgedAt = now;
-        }
-
         void restarted(long at) {
             startedAt = at;
             coldSince = at;
-            sick = SICK_PRIOR;
+            health = new Health();
             foreignThreads = 0;
             reportedAt = at;
             predictors.forEach(p -> p.t = 0);
@@ -962,7 +960,8 @@
 
         /** How far own threads tell of all: by how many of them the mark would mean. */
         private double trust(double mark) {
-            return 1 / (1 + StrictMath.pow(OWN_FEW / (share * cores * mark), 4));
+            double few = OWN_FEW / (share * cores * mark);
+            return 1 / (1 + few * few * few * few);
         }
 
         /**
--- a/src/main/java/cairnline/control/ControlApi.java
+++ b/src/main/java/cairnline/control/ControlApi.java
@@ -177,6 +177,15 @@
             }
         }
 
+        /** The same for engines that tell neither their load nor anything of what they run. */
+        public Settings withoutReports() {
+            Permissions p = permissions;
+            Permissions without = new Permissions(p.attempts(), p.cancel(), p.secondCopies(), false, p.peers(),
+                    p.retryAfter(), p.maxRetryAfter(), p.memory(), p.priority());
+            return new Settings(self, fronts, zone, types, tenants, kinds, without, rules, overShareWorth, grantCap,
+                    follow, 0, marksRepeats);
+        }
+
         private static void require(boolean held, String message) {
             if (!held) {
                 throw new IllegalArgumentException(message);
--- a/src/main/java/cairnline/control/Query.java
+++ b/src/main/java/cairnline/control/Query.java
@@ -35,6 +35,9 @@
     long firstDoubtAt;
     /** Engine that has just failed this request. */
     Control.Host avoid;
+    /** How often engines failed it, and the first that did. */
+    int errors;
+    Control.Host failedBy;
     Line line;
     /** It was called off behind a load. */
     boolean moved;
--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -19,7 +19,8 @@
 
     ODataServer(Configuration configuration, ODataConfiguration odata, Clock clock) throws IOException {
         var limits = configuration.limits();
-        core = new Core(configuration.settings(), configuration.seed(), limits, clock, Server::log,
+        // OData has no words for a load or for notes: their absence must not count as silence.
+        core = new Core(configuration.settings().withoutReports(), configuration.seed(), limits, clock, Server::log,
                 (engine, owner) -> new HttpLink(Server.reach(engine.address()), owner, limits, clock));
         list = new EngineList(core, limits, clock);
         listener = new Listener(odata.listen(), limits.clients() / 2, limits, clock);
--- a/src/main/java/cairnline/routing/Limits.java
+++ b/src/main/java/cairnline/routing/Limits.java
@@ -35,7 +35,6 @@
  * @param feedSilence after this a silent control feed is left and reached anew
  * @param feedLine longest line of the control feed
  * @param answerMargin answers go out so long before the client gives up
- * @param orderPacing how long a client may have held a request with a key back before it wrote it
  * @param drainGrace nothing leaves for an engine so long after it was told to drain
  * @param stopTaking after SIGTERM requests are taken for so long
  * @param flush the last answers have so long to leave
@@ -50,5 +49,5 @@
                      int openRequests, long openBytes, long idle, long clientIdle, long evictable, long firstMessage,
                      long wholeMessage, long linger, int lingerBytes, long writeStall, int frame, int part, int page, int pages, int result,
                      int engineConnections, int engineStreams, int streamsSpread, long silence, long partialAnswer, long connect, long feedConnect, long feedPause,
-                     long feedSilence, int feedLine, long answerMargin, long orderPacing, long drainGrace, long stopTaking, long flush,
+                     long feedSilence, int feedLine, long answerMargin, long drainGrace, long stopTaking, long flush,
                      long retryAfter, int httpConnections, int httpHead, int httpBody, int httpPages, int batch) { }
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -210,12 +210,8 @@
         if (rules.ordered() && r.order() == null) {
             throw new ProtocolException("row is missing for class " + r.type());
         }
-        // A client paces the requests of one key before it writes them, and counts its patience from before that.
-        // Where a key is in demand they queue there; a short patience is halved at most.
-        long told = Clock.ofMillis(r.ttlMs());
-        long patience = told - (rules.ordered() ? Math.min(front.limits().orderPacing(), told / 2) : 0);
         return new Request(r.id(), r.type(), r.statement(), rules.keyed() ? r.repeatKey() : null,
-                rules.ordered() ? r.order() : null, now, patience, r.workMicros(), r.memory(), r.tables(),
+                rules.ordered() ? r.order() : null, now, Clock.ofMillis(r.ttlMs()), r.workMicros(), r.memory(), r.tables(),
                 (request, answer) -> answered(stream, answer));
     }
 
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -47,7 +47,7 @@
     private final Map<String, Consumer<Map<String, Double>>> probes = new HashMap<>();
     private long probeCount;
     private boolean over;
-    /** When something was last written that the engine must answer or tell of. */
+    /** Since when there is something that the engine must answer or tell of. */
     private long askedAt;
     private long heardAt;
 
@@ -85,6 +85,13 @@
         return over;
     }
 
+    /** What is asked while something else is open does not excuse that nothing is heard of that. */
+    private synchronized void asked(long now) {
+        if (exchanges.size() + probes.size() == 1) {
+            askedAt = now;
+        }
+    }
+
     /** How many requests are open here. */
     synchronized int load() {
         return exchanges.size();
@@ -124,7 +131,7 @@
                 return null;
             }
             exchange.written = allowed;
-            askedAt = now;
+            asked(now);
             if (!allowed) {
                 exchanges.remove(request.id());
             }
@@ -180,8 +187,10 @@
             tag = PROBE_TAG + probeCount++;
             probes.put(tag, answer);
         }
-        peer.send(Resp.words("top", tag));
-        return true;
+        return peer.offer(now -> {
+            asked(now);
+            return Resp.words("top", tag);
+        });
     }
 
     @Override
@@ -338,7 +347,7 @@
     @Override
     public synchronized boolean quiet(long now) {
         long still = now - Math.max(askedAt, heardAt);
-        over |= answers.partial() || still >= (exchanges.isEmpty() ? limits.idle() : limits.silence());
+        over |= answers.partial() || still >= (exchanges.isEmpty() && probes.isEmpty() ? limits.idle() : limits.silence());
         return !over;
     }
 
--- a/src/test/java/cairnline/control/FleetTest.java
+++ b/src/test/java/cairnline/control/FleetTest.java
@@ -151,6 +151,81 @@
         late.forEach((engine, count) -> assertTrue(count <= 120, engine + " got " + count));
     }
 
+    /** Takes eight, lets those at one engine end so at once, and counts what it gets of the next forty. */
+    private long afterLossAt(Script s, End end, boolean probed) {
+        s.list("e1", "e2");
+        for (int i = 0; i < 8; i++) {
+            s.take("a" + i, "small");
+        }
+        s.pass(50 * MS);
+        for (int i = 0; i < 8; i++) {
+            if (s.engineOf("a" + i).equals("e1")) {
+                s.end("a" + i, 0, "e1", end, 50 * MS);
+            }
+        }
+        if (probed) {
+            s.control.probed(s.now, "e1", true, MS, Load.NONE);
+        }
+        s.actions.clear();
+        for (int i = 0; i < 40; i++) {
+            s.take("b" + i, "small");
+            s.pass(50 * MS);
+            s.end("b" + i, 0, s.engineOf("b" + i), End.OK, 50 * MS);
+        }
+        return s.actions.stream().filter(a -> a.matches("send b[0-9]+ e1.*")).count();
+    }
+
+    @Test
+    void attemptsLostTogetherWithTheirConnectionLeaveTheEngineInUse() {
+        site.attempts = 1;
+        assertTrue(afterLossAt(new Script(site), End.RESET, false) >= 8);
+    }
+
+    @Test
+    void anEngineThatAnswersAProbeIsThere() {
+        site.attempts = 1;
+        Script s = new Script(site);
+        s.list("e1", "e2");
+        for (int i = 0; i < 4; i++) {
+            s.take("c" + i, "small");
+            s.pass(300 * MS);
+            s.end("c" + i, 0, s.engineOf("c" + i), s.engineOf("c" + i).equals("e1") ? End.CONNECT_FAILED : End.OK, MS);
+        }
+        assertTrue(afterLossAt(s, End.CONNECT_FAILED, true) >= 8);
+    }
+
+    @Test
+    void eachEngineIsAskedForItsLoadNowAndThen() {
+        site.probes = true;
+        Script s = new Script(site);
+        s.list("e1", "e2");
+        s.pass(10 * SECOND);
+        assertEquals(10, s.count("probe e1"));
+        assertEquals(10, s.count("probe e2"));
+    }
+
+    @Test
+    void whatNoEngineCanUseSpeaksAgainstNone() {
+        Script s = new Script(site);
+        s.list("e1", "e2", "e3");
+        for (int i = 0; i < 10; i++) {
+            s.take("a" + i, "small");
+            for (int n = 0; n < 3 && s.count("send a" + i + " ") == n + 1; n++) {
+                s.pass(5 * MS);
+                s.end("a" + i, n, s.engineOf("a" + i), End.ERROR, 5 * MS);
+            }
+        }
+        s.actions.clear();
+        for (int i = 0; i < 60; i++) {
+            s.take("b" + i, "small");
+            s.pass(50 * MS);
+            s.end("b" + i, 0, s.engineOf("b" + i), End.OK, 50 * MS);
+        }
+        for (String engine : List.of("e1", "e2", "e3")) {
+            assertTrue(s.actions.stream().filter(a -> a.matches("send b[0-9]+ " + engine + ".*")).count() >= 8, engine);
+        }
+    }
+
     @Test
     void withoutLostAnswersNoAttemptIsCutShort() {
         site.cancel = true;
--- a/src/test/java/cairnline/program/Scenario.java
+++ b/src/test/java/cairnline/program/Scenario.java
@@ -46,6 +46,7 @@
  * engine expect r1+r2             the next two are these, in any order
  * engine send r1 ok row           its answer: ok with a row, full or error
  * engine hear r1 undo             the next thing that an engine is told beside requests
+ * engine mute                     from here on engines do not answer when they are asked for their load
  * engine keep r1 as old           from here on "engine send r1@old ..." answers on the connection that r1 has now
  * engine close r1                 the connection that brought r1 ends
  * client a raw 0a0b               bytes as they are
@@ -75,6 +76,7 @@
     private final LinkedBlockingQueue<Heard> told = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<Received> received = new LinkedBlockingQueue<>();
     private final List<Socket> sockets = new ArrayList<>();
+    private volatile boolean mute;
 
     private record Received(String engine, Socket socket, Heard heard) { }
 
@@ -116,6 +118,7 @@
             case "engine send" -> holders.get(w[2].substring(w[2].indexOf('@') + 1)).getOutputStream()
                     .write(wire.reply(w[2].split("@")[0], w[3], w.length > 4 ? w[4] : ""));
             case "engine hear" -> told(w, step);
+            case "engine mute" -> mute = true;
             case "engine keep" -> holders.put(w[4], holders.get(w[2]));
             case "wait connections" -> until(() -> wire.connections() == Integer.parseInt(w[2]), step);
             case "engine close" -> reset(holders.get(w[2]));
@@ -255,6 +258,8 @@
                 read(socket, wire.engineReader(), heard -> {
                     if (heard.outcome().equals("asked")) {
                         received.add(new Received(name, socket, heard));
+                    } else if (heard.outcome().equals("top")) {
+                        tellLoad(socket, heard.name());
                     } else {
                         told.add(heard);
                     }
@@ -263,6 +268,16 @@
         });
     }
 
+    private void tellLoad(Socket socket, String tag) {
+        try {
+            if (!mute) {
+                socket.getOutputStream().write(wire.reply(tag, "ready", ""));
+            }
+        } catch (IOException e) {
+            // The connection has ended meanwhile.
+        }
+    }
+
     private static void read(Socket socket, Reader reader, Consumer<Heard> take, Runnable ended) {
         daemon(() -> {
             try {
