Membership: what is believed of each engine and why, from feed, disk and evidence

Need: a manager that restarts while the control feed is away knows no engine and refuses everything. Change: package membership, pure: a state machine (told, remembered, alive, proven, ill, mistaken, leaving), trust as log-odds that halves with age and moves with evidence, probes in order of trust at growing pauses. What it may offer reaches the module in its own terms: an engine that may be cold has started when it was first seen alive, so the module's guard of cold engines holds for it unchanged. Core owns it; links tell it how connections end. Nothing reads a disk yet.

--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -35,16 +35,12 @@
     private static final long EDGE = 20 * MS;
     /** Weight of the newest delay in t, by ratio: one query's size must not speak for an engine. */
     private static final double DELAY_GAIN = 0.1;
-    /** How far t min moves up to t with each success, so that it can age. */
-    private static final double MIN_AGEING = 0.005;
     /** Delay of a class never heard, as a share of its aim: at the whole aim any wait would refuse it. */
     private static final double UNHEARD_SHARE = 0.5;
     /** Weight of the newest value in class means of work, memory and error. */
     private static final double CLASS_GAIN = 0.05;
     /** The load ratio is held under this; above it the sums say no more than "very slow". */
     private static final double RHO_MAX = 20;
-    /** In flight: silence counts up to this many usual delays, so one runaway causes no refusals. */
-    private static final double ELAPSED_CAP = 2;
     /** Threads per core of all fronts at the mark; 1.6 left engines idle, 2.8 let them jam. */
     private static final double MARK = 2.2;
     /** The mark's floor and step a second; it falls while light classes' load ratio is above the last. */
@@ -606,7 +602,7 @@
     }
 
     /** Moves a mean toward a new value by ratio; the first value stands as it is. */
-    private static double smooth(double mean, double value) {
+    static double smooth(double mean, double value) {
         return mean == 0 ? value : mean * StrictMath.pow(value / mean, DELAY_GAIN);
     }
 
@@ -776,6 +772,8 @@
             if (e.startedAt() > h.startedAt) {
                 h.restarted(e.startedAt());
             }
+            // An earlier start than thought: what was taken for cold may be warm.
+            h.startedAt = h.coldSince = Math.min(h.coldSince, e.startedAt());
         }
         hosts.values().removeIf(h -> h.listed == Listed.GONE && h.attempts == 0);
         ranked.retainAll(hosts.values());
@@ -867,42 +865,6 @@
         }
     }
 
-    /** The paper's three states, for one class at one engine. */
-    private static final class Predictor {
-        final Set<Attempt> inFlight = new LinkedHashSet<>();
-        double t, tMin, crowdThen = 1;
-        long doneAt;
-
-        /**
-         * Recent: t. In flight: silent time plus t min times rho; silence runs from the oldest attempt out or
-         * the last success, whichever is later. Idle: t min times rho.
-         */
-        double predict(long now, double rho, double crowd, double meanCrowd) {
-            if (now - doneAt < t * rho) {
-                return t * crowd / crowdThen;
-            }
-            double idle = tMin * rho * crowd / meanCrowd;
-            if (inFlight.isEmpty()) {
-                return idle;
-            }
-            long since = Math.max(doneAt, inFlight.iterator().next().sentAt);
-            return Math.min(now - since, ELAPSED_CAP * idle) + idle;
-        }
-
-        /** The first success moves what all engines say together: one query's luck must not mark one. */
-        void learn(double delay, long now, double crowd, Kin kin) {
-            if (t == 0) {
-                t = kin.usual;
-                tMin = kin.meanMin;
-                crowdThen = crowd;
-            }
-            t = smooth(t, Math.max(1, delay));
-            tMin = tMin == 0 || t < tMin ? t : tMin + MIN_AGEING * (t - tMin);
-            doneAt = now;
-            crowdThen = smooth(crowdThen, crowd);
-        }
-    }
-
     /** What this front makes of an engine. */
     static final class Host extends EngineState {
         final Fleet fleet;
--- /dev/null
+++ b/src/main/java/cairnline/membership/Keeper.java
@@ -0,0 +1,21 @@
+package cairnline.membership;
+
+/** Where the list is kept for the next start. All calls come from the core's thread and return at once. */
+public interface Keeper {
+    /** Keeps nothing. */
+    Keeper NONE = new Keeper() {
+        @Override
+        public void keep(View view, boolean urgent) { }
+
+        @Override
+        public long every() {
+            return Long.MAX_VALUE;
+        }
+    };
+
+    /** Takes over a view; a later one stands in for all before it. Urgent if an engine has begun to drain or has ended. */
+    void keep(View view, boolean urgent);
+
+    /** How often it wants one while nothing urgent happens, in microseconds. */
+    long every();
+}
--- a/src/main/java/cairnline/routing/ListedEngine.java
+++ b/src/main/java/cairnline/membership/ListedEngine.java
@@ -1,4 +1,4 @@
-package cairnline.routing;
+package cairnline.membership;
 
 import cairnline.control.ControlApi.Listed;
 
--- /dev/null
+++ b/src/main/java/cairnline/membership/Remembered.java
@@ -0,0 +1,16 @@
+package cairnline.membership;
+
+/**
+ * What the disk keeps of one engine. Times are microseconds on the program's clock, which counts from the Unix epoch.
+ *
+ * @param engine as the feed last listed it
+ * @param last what was believed of it when this was written
+ * @param toldAt when the feed last told of it
+ * @param aliveAt when it was last seen alive, to within a second; 0 for never
+ */
+public record Remembered(ListedEngine engine, State last, long toldAt, long aliveAt) {
+    /** When this was last confirmed, by the feed or by what was seen. */
+    public long confirmedAt() {
+        return Math.max(toldAt, aliveAt);
+    }
+}
--- a/src/main/java/cairnline/program/ODataConfiguration.java
+++ b/src/main/java/cairnline/program/ODataConfiguration.java
@@ -8,7 +8,7 @@
 import cairnline.protocol.ODataModel;
 import cairnline.protocol.ODataModel.EntitySet;
 import cairnline.protocol.ProtocolException;
-import cairnline.routing.ListedEngine;
+import cairnline.membership.ListedEngine;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -32,7 +32,7 @@
         this.odataFile = odataFile;
         limits = configuration.limits();
         core = new Core(configuration.settings(), configuration.seed(), limits, clock, Server::log,
-                (engine, owner) -> new RespLink(reach(engine.address()), owner, limits, clock));
+                (engine, owner) -> new RespLink(engine.id(), reach(engine.address()), owner, limits, clock));
         list = new EngineList(core, limits, clock);
         feed = new FeedClient(configuration.feed(), list, limits, clock, Server::log);
         clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits, clock), core,
--- a/src/main/java/cairnline/routing/Clock.java
+++ b/src/main/java/cairnline/routing/Clock.java
@@ -1,6 +1,7 @@
 package cairnline.routing;
 
 import cairnline.control.ControlApi;
+import cairnline.membership.ListedEngine;
 
 /**
  * Whole microseconds on the monotonic clock, counted from the Unix epoch as the system had it at start, so that
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -10,6 +10,12 @@
 import cairnline.control.ControlApi.NoteKind;
 import cairnline.control.ControlApi.Outcome;
 import cairnline.control.ControlApi.Settings;
+import cairnline.membership.Evidence;
+import cairnline.membership.Keeper;
+import cairnline.membership.ListedEngine;
+import cairnline.membership.Membership;
+import cairnline.membership.Remembered;
+import cairnline.membership.TrustSettings;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -25,6 +31,8 @@
  * carries out what it asks. It knows no wire. What other threads call only leaves a letter.
  */
 public final class Core implements Actor.Turns, Actions {
+    private static final String NO_ENGINE = "no engine that is remembered can be reached";
+
     private final Limits limits;
     private final Settings settings;
     private final long seed;
@@ -40,6 +48,9 @@
     private final Map<String, OpenRequest> byClientId = new HashMap<>();
     private final Map<Attempt, Out> out = new IdentityHashMap<>();
     private final Map<String, Engine> engines = new HashMap<>();
+    private final Membership membership;
+    private final Keeper keeper;
+    private long lookAt = Long.MAX_VALUE;
     private ControlApi control;
     private long now;
     private long taken;
@@ -48,9 +59,18 @@
     private Runnable whenDone;
     private volatile boolean ready;
 
-    /** A core that does not run yet; {@code links} opens the way to an engine. */
+    /** A core that keeps no list for its next start. */
     public Core(Settings settings, long seed, Limits limits, Clock clock, Consumer<String> log,
                 BiFunction<ListedEngine, Core, EngineLink> links) {
+        this(settings, seed, limits, clock, log, links,
+                TrustSettings.usual(Clock.fromModule(settings.rules().warmWithin())), Keeper.NONE);
+    }
+
+    /** A core that does not run yet; {@code links} opens the way to an engine, {@code keeper} is shown the list. */
+    public Core(Settings settings, long seed, Limits limits, Clock clock, Consumer<String> log,
+                BiFunction<ListedEngine, Core, EngineLink> links, TrustSettings trust, Keeper keeper) {
+        this.membership = new Membership(trust);
+        this.keeper = keeper;
         this.settings = settings;
         this.seed = seed;
         this.limits = limits;
@@ -135,6 +155,16 @@
         actor.put(() -> list(whole, entries));
     }
 
+    /** The list of an earlier run, from disk; it counts until the feed tells. */
+    public void remembered(List<Remembered> kept) {
+        actor.put(() -> restore(kept));
+    }
+
+    /** Something was seen of an engine beside the ends of its attempts: on its connections, say. */
+    public void witnessed(String engineId, Evidence evidence) {
+        actor.put(() -> seen(engineId, evidence));
+    }
+
     /** From now on not ready; {@code done} runs when nothing more is taken and all that was is answered. */
     public void stopping(Runnable done) {
         actor.put(() -> {
@@ -154,6 +184,9 @@
         now = time;
         if (control == null) {
             control = new Control(settings, seed, moduleNow(), this);
+            if (keeper.every() < Long.MAX_VALUE) {
+                timers.at(now + keeper.every(), this::keepAgain);
+            }
         }
     }
 
@@ -164,6 +197,7 @@
             task.run();
             task = timers.due(now);
         }
+        lookAfterMembers();
         if (whenDone != null && byRequest.isEmpty()) {
             whenDone.run();
             whenDone = null;
@@ -198,8 +232,10 @@
         // While stopping, what comes once no more is taken must not keep the program from its end.
         String refusal = closed ? "this workload manager stops"
                 : open.size() >= limits.openRequests() ? "too many open requests" : null;
-        if (refusal != null) {
-            r.front().answer(r, Answer.refused(refusal, limits.retryAfter()));
+        long comeBack = membership.comeBack(now);
+        if (refusal != null || comeBack > 0) {
+            r.front().answer(r, refusal != null ? Answer.refused(refusal, limits.retryAfter())
+                    : Answer.refused(NO_ENGINE, comeBack));
             return;
         }
         OpenRequest namesake = byClientId.get(r.id());
@@ -271,6 +307,9 @@
             ended.engine.attemptsOut--;
             closeIfGone(ended.engine);
         }
+        if (result.end() == End.OK || result.end() == End.FULL || result.end() == End.ERROR) {
+            seen(a.engine(), Evidence.WORK_SERVED);
+        }
         if (result.end() == End.OK) {
             answer(o, Answer.served(result.rows()));
         }
@@ -377,6 +416,11 @@
     }
 
     private void probed(String engineId, long askedAt, Map<String, Double> report) {
+        if (report != null) {
+            seen(engineId, Evidence.PROBE_ANSWERED);
+        } else {
+            membership.probeEnded(now, engineId);
+        }
         tell(() -> control.probed(moduleNow(), engineId, report != null, Clock.toModule(now - askedAt),
                 load(report)));
     }
@@ -407,7 +451,8 @@
 
     // ---- Engines ----
 
-    private void list(boolean whole, List<ListedEngine> entries) {
+    private void list(boolean whole, List<ListedEngine> told) {
+        List<ListedEngine> entries = membership.told(now, whole, told);
         if (whole) {
             List<String> named = entries.stream().map(ListedEngine::id).toList();
             for (Engine engine : List.copyOf(engines.values())) {
@@ -416,24 +461,89 @@
                 }
             }
         }
-        for (ListedEngine entry : entries) {
-            Engine known = engines.get(entry.id());
-            if (known != null && !known.listed.address().equals(entry.address())) {
-                // The same name at another address is reached by another way; the old one ends.
-                engines.remove(entry.id());
-                known.link.close();
-                known = null;
+        entries.forEach(this::reach);
+        offer(whole, entries);
+        if (membership.takeUrgent()) {
+            keeper.keep(membership.view(now), true);
+        }
+    }
+
+    private void restore(List<Remembered> kept) {
+        List<ListedEngine> offers = membership.restore(now, kept);
+        if (!offers.isEmpty()) {
+            // The links go by the list; what may be offered on them is told to the module alone.
+            kept.stream().map(Remembered::engine).forEach(this::reach);
+            offer(false, offers);
+        }
+    }
+
+    /** Tells the module of these engines as membership lets them be offered. */
+    private void offer(boolean whole, List<ListedEngine> entries) {
+        tell(() -> control.engines(moduleNow(), whole,
+                entries.stream().map(membership::offer).map(Clock::toModule).toList()));
+        ready = !stopping;
+    }
+
+    private void seen(String engineId, Evidence evidence) {
+        ListedEngine offer = membership.seen(now, engineId, evidence);
+        if (offer != null) {
+            offer(false, List.of(offer));
+        }
+    }
+
+    /** What membership does by itself; what it then has to say to the module is said in its own turn. */
+    private void lookAfterMembers() {
+        List<ListedEngine> offers = membership.turn(now);
+        if (!offers.isEmpty()) {
+            offer(false, offers);
+        }
+        for (String id = membership.probe(now); id != null; id = membership.probe(now)) {
+            probe(id);
+        }
+        long comeBack = membership.comeBack(now);
+        if (comeBack > 0) {
+            refuseUnsent(comeBack);
+        }
+        long due = membership.due(now);
+        if (due < lookAt || lookAt <= now) {
+            lookAt = due;
+            if (due < Long.MAX_VALUE) {
+                timers.at(due, () -> { });
             }
-            if (known != null) {
-                become(known, entry);
-            } else if (entry.listed() != Listed.GONE) {
-                Engine engine = new Engine(entry, links.apply(entry, this));
-                engines.put(entry.id(), engine);
-                become(engine, entry);
+        }
+    }
+
+    /** What waits for an engine when there is none left to hope for has its answer at once. */
+    private void refuseUnsent(long comeBack) {
+        for (OpenRequest o : List.copyOf(byRequest.values())) {
+            if (o.attempts.isEmpty()) {
+                answer(o, Answer.refused(NO_ENGINE, comeBack));
+                tell(() -> control.abandoned(moduleNow(), o.id));
             }
         }
-        tell(() -> control.engines(moduleNow(), whole, entries.stream().map(Clock::toModule).toList()));
-        ready = !stopping;
+    }
+
+    private void keepAgain() {
+        keeper.keep(membership.view(now), false);
+        timers.at(now + keeper.every(), this::keepAgain);
+    }
+
+    /** Sets up the way to an engine, or brings it in line with its entry. */
+    private void reach(ListedEngine entry) {
+        Engine known = engines.get(entry.id());
+        if (known != null && !known.listed.address().equals(entry.address())) {
+            // The same name at another address is reached by another way; the old one ends.
+            engines.remove(entry.id());
+            known.link.close();
+            known = null;
+        }
+        if (known != null) {
+            become(known, entry);
+        } else if (entry.listed() != Listed.GONE) {
+            Engine engine = new Engine(entry, links.apply(entry, this));
+            engines.put(entry.id(), engine);
+            become(engine, entry);
+        }
     }
 
     private static ListedEngine gone(ListedEngine e) {
--- a/src/main/java/cairnline/routing/EngineList.java
+++ b/src/main/java/cairnline/routing/EngineList.java
@@ -1,5 +1,6 @@
 package cairnline.routing;
 
+import cairnline.membership.ListedEngine;
 import java.util.List;
 
 /** The list's actor: takes numbered changes in order, once each, and hands them to the core. */
--- a/src/main/java/cairnline/transport/FeedClient.java
+++ b/src/main/java/cairnline/transport/FeedClient.java
@@ -7,7 +7,7 @@
 import cairnline.routing.Clock;
 import cairnline.routing.EngineList;
 import cairnline.routing.Limits;
-import cairnline.routing.ListedEngine;
+import cairnline.membership.ListedEngine;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
--- a/src/main/java/cairnline/transport/Peer.java
+++ b/src/main/java/cairnline/transport/Peer.java
@@ -38,6 +38,9 @@
         /** That time has come; the connection ends if this gives false. */
         boolean quiet(long now);
 
+        /** The connection did not come up, for this reason; its end is told next. */
+        default void unreachable(IOException why) { }
+
         /** The connection is over, or never came up; called once. Gives what is to be said last, or null. */
         byte[] ended(boolean wasUp);
     }
@@ -68,6 +71,7 @@
                 socket.setTcpNoDelay(true);
                 Threads.start(name, limits.peerStack(), () -> read(handler));
             } catch (IOException e) {
+                handler.unreachable(e);
                 handler.ended(false);
                 close();
             }
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -2,6 +2,7 @@
 
 import cairnline.control.ControlApi.End;
 import cairnline.control.ControlApi.NoteKind;
+import cairnline.membership.Evidence;
 import cairnline.protocol.EngineMessage;
 import cairnline.protocol.ProtocolException;
 import cairnline.protocol.Resp;
@@ -11,6 +12,8 @@
 import cairnline.routing.Limits;
 import cairnline.routing.Request;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -47,6 +50,9 @@
     private final Map<String, Consumer<Map<String, Double>>> probes = new HashMap<>();
     private long probeCount;
     private boolean over;
+    /** What the way this connection ends tells of its engine; null for nothing. */
+    private Evidence seen;
+    private boolean closedHere;
     /** Since when there is something that the engine must answer or tell of. */
     private long askedAt;
     private long heardAt;
@@ -195,9 +201,19 @@
 
     @Override
     public void close() {
+        synchronized (this) {
+            closedHere = true;
+        }
         peer.close();
     }
 
+    @Override
+    public synchronized void unreachable(IOException why) {
+        if (!closedHere) {
+            seen = why instanceof ConnectException ? Evidence.REFUSED : Evidence.SILENCE;
+        }
+    }
+
     @Override
     public void read(byte[] bytes, int count, long now) {
         synchronized (this) {
@@ -212,6 +228,7 @@
             // What follows can't be told apart any more; the end of the connection ends what is out on it.
             synchronized (this) {
                 over = true;
+                seen = Evidence.UNREADABLE;
             }
             close();
         }
@@ -347,7 +364,11 @@
     @Override
     public synchronized boolean quiet(long now) {
         long still = now - Math.max(askedAt, heardAt);
-        over |= answers.partial() || still >= (exchanges.isEmpty() && probes.isEmpty() ? limits.idle() : limits.silence());
+        boolean idle = exchanges.isEmpty() && probes.isEmpty();
+        if (answers.partial() || !idle && still >= limits.silence()) {
+            seen = Evidence.SILENCE;
+        }
+        over |= answers.partial() || still >= (idle ? limits.idle() : limits.silence());
         return !over;
     }
 
@@ -355,13 +376,19 @@
     public byte[] ended(boolean wasUp) {
         List<Exchange> out;
         List<Consumer<Map<String, Double>>> asked;
+        Evidence told;
         synchronized (this) {
             over = true;
+            boolean broken = wasUp && !closedHere && !(exchanges.isEmpty() && probes.isEmpty());
+            told = seen == null && broken ? Evidence.RESET : seen;
             out = new ArrayList<>(exchanges.values());
             asked = new ArrayList<>(probes.values());
             exchanges.clear();
             probes.clear();
         }
+        if (told != null) {
+            core.witnessed(link.engine(), told);
+        }
         for (Exchange exchange : out) {
             End end = exchange.written ? End.RESET : wasUp ? End.NOT_SENT : End.CONNECT_FAILED;
             core.ended(exchange.attempt, Attempt.Result.of(end));
--- a/src/main/java/cairnline/transport/RespLink.java
+++ b/src/main/java/cairnline/transport/RespLink.java
@@ -10,20 +10,26 @@
 
 /** The way to one engine that speaks RESP; each connection carries many requests. */
 public final class RespLink extends PooledLink<RespConnection> {
+    private final String engine;
     private final InetSocketAddress address;
     private final Core core;
     private final Limits limits;
     private final Clock clock;
 
-    /** A link without a connection. */
-    public RespLink(InetSocketAddress address, Core core, Limits limits, Clock clock) {
+    /** A link without a connection to the engine with this id. */
+    public RespLink(String engine, InetSocketAddress address, Core core, Limits limits, Clock clock) {
         super(limits.engineConnections());
+        this.engine = engine;
         this.address = address;
         this.core = core;
         this.limits = limits;
         this.clock = clock;
     }
 
+    String engine() {
+        return engine;
+    }
+
     @Override
     public boolean send(Attempt attempt) {
         RespConnection connection = connection(attempt.request().id());
--- a/src/test/java/cairnline/LayersTest.java
+++ b/src/test/java/cairnline/LayersTest.java
@@ -21,10 +21,15 @@
     private static final Map<String, Set<String>> MAY_USE = Map.of(
             "control", Set.of(),
             "protocol", Set.of(),
-            "routing", Set.of("control"),
-            "transport", Set.of("control", "protocol", "routing"),
+            "logs", Set.of(),
+            "settings", Set.of(),
+            "membership", Set.of("control"),
+            "store", Set.of("control", "logs", "membership"),
+            "routing", Set.of("control", "membership"),
+            "transport", Set.of("control", "membership", "protocol", "routing"),
             "simhost", Set.of("control"),
-            "program", Set.of("control", "protocol", "routing", "transport", "simhost"));
+            "program", Set.of("control", "logs", "membership", "protocol", "routing", "settings", "simhost", "store",
+                    "transport"));
 
     @Test
     void packagesUseOnlyThoseBelowThem() throws IOException {
--- a/src/test/java/cairnline/program/ODataWire.java
+++ b/src/test/java/cairnline/program/ODataWire.java
@@ -6,7 +6,7 @@
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.EngineLink;
-import cairnline.routing.ListedEngine;
+import cairnline.membership.ListedEngine;
 import cairnline.transport.HttpLink;
 import cairnline.transport.Listener;
 import cairnline.transport.ODataFront;
--- a/src/test/java/cairnline/program/PlatformWire.java
+++ b/src/test/java/cairnline/program/PlatformWire.java
@@ -5,7 +5,7 @@
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.EngineLink;
-import cairnline.routing.ListedEngine;
+import cairnline.membership.ListedEngine;
 import cairnline.transport.ClientFront;
 import cairnline.transport.Listener;
 import cairnline.transport.RespLink;
@@ -36,7 +36,7 @@
 
     @Override
     public EngineLink link(ListedEngine engine, Core core, Configuration configuration, Clock clock) {
-        return new RespLink(Configuration.address("dial", engine.address()), core, configuration.limits(), clock);
+        return new RespLink(engine.id(), Configuration.address("dial", engine.address()), core, configuration.limits(), clock);
     }
 
     @Override
--- a/src/test/java/cairnline/program/Scenario.java
+++ b/src/test/java/cairnline/program/Scenario.java
@@ -8,7 +8,7 @@
 import cairnline.control.ControlApi.Listed;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
-import cairnline.routing.ListedEngine;
+import cairnline.membership.ListedEngine;
 import cairnline.program.Wire.Ask;
 import cairnline.program.Wire.Heard;
 import cairnline.program.Wire.Reader;
--- a/src/test/java/cairnline/program/Wire.java
+++ b/src/test/java/cairnline/program/Wire.java
@@ -3,7 +3,7 @@
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.EngineLink;
-import cairnline.routing.ListedEngine;
+import cairnline.membership.ListedEngine;
 import java.io.IOException;
 import java.util.List;
 
