Keep the engine list on disk; settings in a subset of CUE, logs and a command line on libraries

Need: membership had nothing to remember from; and what it asks for (a folder, half-lives, events) had no place to be set. All off unless a settings file names a folder.

--- /dev/null
+++ b/src/main/java/cairnline/logs/EventLog.java
@@ -0,0 +1,135 @@
+package cairnline.logs;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.slf4j.Logger;
+import org.slf4j.spi.LoggingEventBuilder;
+
+/**
+ * The program's log, on standard error. Whoever logs never waits: events go through a bounded queue to a thread of the
+ * log's own, which also sets up the library, so that a start that logs nothing pays nothing. What finds the queue full is
+ * dropped and counted.
+ */
+public final class EventLog implements Events {
+    /** How events are written. */
+    public enum Format { TEXT, JSON }
+
+    private static final String TEXT = "cairnline: %msg%replace( %kvp{NONE}){' $', ''}%n";
+    private static final int STACK = 256 * 1024;
+
+    private final ArrayBlockingQueue<Runnable> queue;
+    private final AtomicBoolean started = new AtomicBoolean();
+    private final AtomicLong dropped = new AtomicLong();
+    private final Format format;
+    private Logger logger;
+    private long droppedTold;
+
+    /** A log to standard error that holds so many events at most. */
+    public EventLog(Format format, int most) {
+        this.format = format;
+        this.queue = new ArrayBlockingQueue<>(most);
+    }
+
+    @Override
+    public void event(Severity severity, String name, String words, Object... pairs) {
+        leave(() -> write(severity, name, words, pairs));
+    }
+
+    /** How many events found the queue full. */
+    public long dropped() {
+        return dropped.get();
+    }
+
+    /** Waits until what was logged before has been written, this long at most, in milliseconds. */
+    public void flush(long most) {
+        CountDownLatch written = new CountDownLatch(1);
+        try {
+            if (started.get() && queue.offer(written::countDown, most, TimeUnit.MILLISECONDS)) {
+                written.await(most, TimeUnit.MILLISECONDS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void leave(Runnable event) {
+        if (!queue.offer(event)) {
+            dropped.incrementAndGet();
+        }
+        if (!started.get() && started.compareAndSet(false, true)) {
+            Thread thread = new Thread(null, this::run, "log", STACK);
+            thread.setDaemon(true);
+            thread.start();
+        }
+    }
+
+    private void run() {
+        logger = logger();
+        try {
+            while (true) {
+                queue.take().run();
+                long lost = dropped.get() - droppedTold;
+                if (lost > 0) {
+                    droppedTold += lost;
+                    write(Severity.WARN, "log.dropped", "events found the log's queue full", "count", lost);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void write(Severity severity, String name, String words, Object... pairs) {
+        LoggingEventBuilder event = logger.atLevel(severity.level()).addKeyValue("event", name);
+        for (int i = 0; i + 1 < pairs.length; i += 2) {
+            event = event.addKeyValue(String.valueOf(pairs[i]), pairs[i + 1]);
+        }
+        event.log(words);
+    }
+
+    /** Set up here and not by the library's search for files: that would cost a start more than all the rest. */
+    private Logger logger() {
+        LoggerContext context = new LoggerContext();
+        // Without one of these an event fails to be written, in silence.
+        context.setMDCAdapter(new LogbackMDCAdapter());
+        Encoder<ILoggingEvent> encoder = format == Format.JSON ? json(context) : text(context);
+        ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+        appender.setContext(context);
+        appender.setTarget("System.err");
+        appender.setEncoder(encoder);
+        appender.start();
+        ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.INFO);
+        root.addAppender(appender);
+        return context.getLogger("cairnline");
+    }
+
+    private static Encoder<ILoggingEvent> text(LoggerContext context) {
+        PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+        encoder.setContext(context);
+        encoder.setPattern(TEXT);
+        encoder.start();
+        return encoder;
+    }
+
+    private static Encoder<ILoggingEvent> json(LoggerContext context) {
+        JsonEncoder encoder = new JsonEncoder();
+        encoder.setContext(context);
+        encoder.setWithContext(false);
+        encoder.setWithSequenceNumber(false);
+        encoder.setWithNanoseconds(false);
+        encoder.start();
+        return encoder;
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnline/program/ManagerProcess.java
@@ -0,0 +1,106 @@
+package cairnline.program;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A workload manager in a process of its own on a free loopback port; for trying, measuring and testing the whole. */
+final class ManagerProcess implements AutoCloseable {
+    private static final long END_S = 40;
+    /** As deploy/balancer.toml has it, so that what is measured is what runs. */
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData", "-Xshare:auto", "-Xss256k", "-Xms72m", "-Xmx72m", "-Xmn44m", "-XX:MaxMetaspaceSize=32m",
+            "-XX:ReservedCodeCacheSize=24m");
+
+    private final Path folder;
+    private final List<String> command = new ArrayList<>();
+    private final Path config;
+    private final int port;
+    private Process process;
+
+    /** One of so many, which follows this feed; {@code settings} is the text of its settings file, null for none. */
+    ManagerProcess(Path folder, int self, int fronts, String feed, String settings) throws IOException {
+        this.folder = Files.createDirectories(folder);
+        port = freePort();
+        config = Files.writeString(folder.resolve("config.json"), template().replace("@listen@", "127.0.0.1:" + port)
+                .replace("@feed@", feed).replace("@fronts@", Integer.toString(fronts))
+                .replace("@self@", Integer.toString(self)));
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(FLAGS);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "cairnline.program.Main", "serve"));
+        if (settings != null) {
+            command.add("--settings");
+            command.add(Files.writeString(folder.resolve("settings.cue"), settings).toString());
+        }
+    }
+
+    static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return any.getLocalPort();
+        }
+    }
+
+    private static String template() throws IOException {
+        try (InputStream in = ManagerProcess.class.getResourceAsStream("toy.json")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    /** Starts it, or starts it again; {@code prefix} stands before its command, to bound its share of a core, say. */
+    void start(String... prefix) throws IOException {
+        List<String> all = new ArrayList<>(List.of(prefix));
+        all.addAll(command);
+        ProcessBuilder builder = new ProcessBuilder(all)
+                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+        builder.environment().remove("ROUTER_LISTEN");
+        builder.environment().put("ROUTER_CONFIG", config.toString());
+        process = builder.start();
+    }
+
+    /** Where clients connect. */
+    int port() {
+        return port;
+    }
+
+    /** What it wrote to its output and error. */
+    Path log() {
+        return folder.resolve("log");
+    }
+
+    /** What it logged so far. */
+    String logged() throws IOException {
+        return Files.exists(log()) ? Files.readString(log()) : "";
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    /** Ends it at once, as a crash does. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    /** Ends it in order; gives its exit code. */
+    int end() throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(END_S, TimeUnit.SECONDS)) {
+            kill();
+        }
+        return process.exitValue();
+    }
+
+    @Override
+    public void close() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+}
--- a/src/main/java/cairnline/program/ODataConfiguration.java
+++ b/src/main/java/cairnline/program/ODataConfiguration.java
@@ -9,10 +9,7 @@
 import cairnline.protocol.ODataModel.EntitySet;
 import cairnline.protocol.ProtocolException;
 import cairnline.membership.ListedEngine;
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,18 +23,17 @@
                           ODataModel model) {
     private static final String NAME = "[A-Za-z_][A-Za-z0-9_]{0,127}";
 
-    /** Reads the file; the classes must be among those of the settings. */
-    static ODataConfiguration read(Path file, Settings settings) {
+    static ODataConfiguration of(byte[] json, Settings settings) {
         try {
-            return of(Files.readAllBytes(file), settings);
-        } catch (IOException e) {
-            throw new ConfigurationException("odata", "can't read " + file + ": " + e.getMessage());
+            return of(Json.object(json), settings);
+        } catch (ProtocolException e) {
+            throw new ConfigurationException("odata", e.getMessage());
         }
     }
 
-    static ODataConfiguration of(byte[] json, Settings settings) {
+    /** The classes must be among those of the settings. */
+    static ODataConfiguration of(Map<String, Object> root, Settings settings) {
         try {
-            Map<String, Object> root = Json.object(json);
             InetSocketAddress listen = Configuration.address("odata.listen", text(root, "odata.listen", "listen"));
             InetSocketAddress feed = root.containsKey("feed")
                     ? Configuration.address("odata.feed", text(root, "odata.feed", "feed")) : null;
--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -1,5 +1,6 @@
 package cairnline.program;
 
+import cairnline.logs.Events;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.EngineList;
@@ -17,15 +18,16 @@
     private final Listener listener;
     private final FeedClient feed;
 
-    ODataServer(Configuration configuration, ODataConfiguration odata, Clock clock) throws IOException {
+    ODataServer(Configuration configuration, ODataConfiguration odata, Clock clock, Events log) throws IOException {
         var limits = configuration.limits();
         // OData has no words for a load or for notes: their absence must not count as silence.
-        core = new Core(configuration.settings().withoutReports(), configuration.seed(), limits, clock, Server::log,
-                (engine, owner) -> new HttpLink(Server.reach(engine.address()), owner, limits, clock));
+        core = new Core(configuration.settings().withoutReports(), configuration.seed(), limits, clock,
+                line -> log.warn("module", line),
+                (engine, owner) -> new HttpLink(Server.reach(engine.address(), log), owner, limits, clock));
         list = new EngineList(core, limits, clock);
         listener = new Listener(odata.listen(), limits.clients() / 2, limits, clock);
         front = new ODataFront(listener, core, odata.model(), configuration.patience(), limits, clock);
-        feed = odata.feed() == null ? null : new FeedClient(odata.feed(), list, limits, clock, Server::log);
+        feed = odata.feed() == null ? null : new FeedClient(odata.feed(), list, limits, clock, log);
         if (!odata.engines().isEmpty()) {
             core.listed(true, odata.engines());
         }
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -1,23 +1,34 @@
 package cairnline.program;
 
+import cairnline.logs.EventLog;
+import cairnline.logs.Events;
+import cairnline.membership.Keeper;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.EngineList;
 import cairnline.routing.Limits;
+import cairnline.settings.SettingsException;
+import cairnline.store.Snapshot;
+import cairnline.store.SnapshotFolder;
+import cairnline.store.SnapshotKeeper;
 import cairnline.transport.ClientFront;
 import cairnline.transport.FeedClient;
 import cairnline.transport.Listener;
 import cairnline.transport.RespLink;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 
 /** The workload manager: its parts wired, its start and its end. */
 final class Server {
+    private static final long LOG_FLUSH_MS = 200;
+
     private final Configuration started;
-    private final Path odataFile;
+    private final ServeSettings settings;
     private final Limits limits;
+    private final Clock clock = new Clock();
+    private final EventLog log;
+    private final SnapshotKeeper keeper;
     private final Core core;
     private final EngineList list;
     private final FeedClient feed;
@@ -25,22 +36,43 @@
     private final ODataServer odata;
     private final CountDownLatch stopped = new CountDownLatch(1);
 
-    /** {@code odataFile} turns the OData front on; null leaves it off. */
-    Server(Configuration configuration, Path odataFile) throws IOException {
-        Clock clock = new Clock();
+    Server(Configuration configuration, ServeSettings settings) throws IOException {
         started = configuration;
-        this.odataFile = odataFile;
+        this.settings = settings;
         limits = configuration.limits();
-        core = new Core(configuration.settings(), configuration.seed(), limits, clock, Server::log,
-                (engine, owner) -> new RespLink(engine.id(), reach(engine.address()), owner, limits, clock));
+        log = new EventLog(settings.logFormat(), settings.logQueue());
+        SnapshotFolder folder = settings.snapshots() == null ? null
+                : new SnapshotFolder(settings.snapshots(), settings.store(), log);
+        keeper = folder == null ? null : new SnapshotKeeper(folder, settings.store(), log, clock::micros);
+        core = new Core(configuration.settings(), configuration.seed(), limits, clock,
+                line -> log.warn("module", line),
+                (engine, owner) -> new RespLink(engine.id(), reach(engine.address(), log), owner, limits, clock),
+                settings.trust(), keeper == null ? Keeper.NONE : keeper);
         list = new EngineList(core, limits, clock);
-        feed = new FeedClient(configuration.feed(), list, limits, clock, Server::log);
+        feed = new FeedClient(configuration.feed(), list, limits, clock, log);
         clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits, clock), core,
                 configuration.classes(), limits, clock);
+        if (folder != null) {
+            remember(folder);
+        }
         tell(configuration);
         list.changed(configuration.knownLast(), false, null);
-        odata = odataFile == null ? null : new ODataServer(configuration,
-                ODataConfiguration.read(odataFile, configuration.settings()), clock);
+        odata = settings.odata() == null ? null
+                : new ODataServer(configuration, settings.odata(), clock, log);
+    }
+
+    /** What the configuration knows comes from the feed itself, and so stands above what the disk remembers. */
+    private void remember(SnapshotFolder folder) {
+        if (started.known().stream().anyMatch(event -> event.hosts() != null && !event.hosts().isEmpty())) {
+            log.info("snapshot.unused", "the configuration names engines; the kept list is not read");
+            return;
+        }
+        Snapshot kept = folder.newest(clock.micros());
+        if (kept != null) {
+            core.remembered(kept.engines());
+            log.info("snapshot.restored", "starts from the kept list until the control feed tells", "engines",
+                    kept.engines().size(), "ageMs", (clock.micros() - kept.savedAt()) / 1_000);
+        }
     }
 
     /** Serves until the process is told to end. */
@@ -49,6 +81,9 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
         // Before anything is served: the JVM ends on SIGHUP where nobody handles it.
         Signals.handle("HUP", this::reload);
+        if (keeper != null) {
+            keeper.start();
+        }
         core.start();
         list.start();
         clients.start();
@@ -68,17 +103,17 @@
     private synchronized void reload() {
         try {
             Configuration next = Configuration.read(System.getenv());
-            ODataConfiguration nextOData = odataFile == null ? null
-                    : ODataConfiguration.read(odataFile, started.settings());
+            ServeSettings nextSettings = settings.again(started);
             feed.follow(next.feed());
             tell(next);
-            if (odata != null) {
-                odata.follow(nextOData);
+            if (odata != null && nextSettings.odata() != null) {
+                odata.follow(nextSettings.odata());
             }
-            log("configuration read again; the control feed is at " + next.feed()
-                    + (next.needsRestart(started) ? "; listen, settings and limits stay until the next start" : ""));
-        } catch (ConfigurationException e) {
-            log("the old configuration stays: " + e.getMessage());
+            boolean partly = next.needsRestart(started) || settings.needsRestart(nextSettings);
+            log.info("configuration.read", "configuration read again; the control feed is at " + next.feed()
+                    + (partly ? "; what else has changed counts from the next start" : ""));
+        } catch (ConfigurationException | SettingsException e) {
+            log.warn("configuration.kept", "the old configuration stays: " + e.getMessage());
         }
     }
 
@@ -98,21 +133,21 @@
         if (odata != null) {
             odata.flush();
         }
+        if (keeper != null) {
+            keeper.flush(limits.flush());
+        }
+        log.flush(LOG_FLUSH_MS);
         stopped.countDown();
         Runtime.getRuntime().halt(0);
     }
 
     /** An address that can't be read is one that can't be reached; the other engines of its event still count. */
-    static InetSocketAddress reach(String address) {
+    static InetSocketAddress reach(String address, Events log) {
         try {
             return Configuration.address("dial", address);
         } catch (ConfigurationException e) {
-            log(e.getMessage());
+            log.warn("engine.unreadable", e.getMessage());
             return InetSocketAddress.createUnresolved("unreadable", 0);
         }
     }
-
-    static void log(String line) {
-        System.err.println("cairnline: " + line);
-    }
 }
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -170,6 +170,7 @@
         actor.put(() -> {
             stopping = true;
             ready = false;
+            keeper.keep(membership.view(now), true);
             timers.at(now + limits.stopTaking(), () -> {
                 closed = true;
                 whenDone = done;
--- a/src/main/java/cairnline/transport/FeedClient.java
+++ b/src/main/java/cairnline/transport/FeedClient.java
@@ -7,6 +7,7 @@
 import cairnline.routing.Clock;
 import cairnline.routing.EngineList;
 import cairnline.routing.Limits;
+import cairnline.logs.Events;
 import cairnline.membership.ListedEngine;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,7 +15,6 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.function.Consumer;
 
 /** Follows the control feed: resumes after the last event, and comes back after a pause when it is lost. */
 public final class FeedClient {
@@ -23,13 +23,13 @@
     private final EngineList list;
     private final Limits limits;
     private final Clock clock;
-    private final Consumer<String> log;
+    private final Events log;
     private InetSocketAddress address;
     /** The connection to that address; closing it wakes the thread that follows. */
     private Socket socket = new Socket();
 
     /** A client that does not follow yet. */
-    public FeedClient(InetSocketAddress address, EngineList list, Limits limits, Clock clock, Consumer<String> log) {
+    public FeedClient(InetSocketAddress address, EngineList list, Limits limits, Clock clock, Events log) {
         this.address = address;
         this.list = list;
         this.limits = limits;
@@ -64,7 +64,7 @@
             } catch (IOException | RuntimeException e) {
                 // Also on what no reader foresees: without this thread the list would stand still for good.
                 if (!lost) {
-                    log.accept("control feed lost: " + e.getMessage());
+                    log.warn("feed.lost", "control feed lost: " + e.getMessage(), "address", at);
                 }
             }
             lost = true;
@@ -94,7 +94,7 @@
         byte[] buffer = new byte[READ_SIZE];
         int searched = 0;
         if (wasLost) {
-            log.accept("control feed reached again");
+            log.info("feed.reached", "control feed reached again");
         }
         long silentAt = clock.micros() + limits.feedSilence();
         for (int count = receive(from, buffer, silentAt); count >= 0; count = receive(from, buffer, silentAt)) {
--- a/src/test/java/cairnline/LayersTest.java
+++ b/src/test/java/cairnline/LayersTest.java
@@ -18,18 +18,19 @@
 /** Each package uses only those below it. */
 class LayersTest {
     private static final Pattern USE = Pattern.compile("\\bcairnline\\.([a-z]+)\\.[A-Z]");
-    private static final Map<String, Set<String>> MAY_USE = Map.of(
-            "control", Set.of(),
-            "protocol", Set.of(),
-            "logs", Set.of(),
-            "settings", Set.of(),
-            "membership", Set.of("control"),
-            "store", Set.of("control", "logs", "membership"),
-            "routing", Set.of("control", "membership"),
-            "transport", Set.of("control", "membership", "protocol", "routing"),
-            "simhost", Set.of("control"),
-            "program", Set.of("control", "logs", "membership", "protocol", "routing", "settings", "simhost", "store",
-                    "transport"));
+    private static final Map<String, Set<String>> MAY_USE = Map.ofEntries(
+            Map.entry("control", Set.of()),
+            Map.entry("protocol", Set.of()),
+            Map.entry("logs", Set.of()),
+            Map.entry("settings", Set.of()),
+            Map.entry("membership", Set.of("control")),
+            Map.entry("store", Set.of("control", "logs", "membership")),
+            Map.entry("routing", Set.of("control", "membership")),
+            Map.entry("transport", Set.of("control", "logs", "membership", "protocol", "routing")),
+            Map.entry("simhost", Set.of("control")),
+            Map.entry("standin", Set.of("protocol")),
+            Map.entry("program", Set.of("control", "logs", "membership", "protocol", "routing", "settings", "simhost", "standin",
+                    "store", "transport")));
 
     @Test
     void packagesUseOnlyThoseBelowThem() throws IOException {
