--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -75,6 +75,8 @@
     private static final double COLD_FILL = 0.4;
     /** A query above this part of what a cold engine can do in a window waits until the engine is warmer. */
     private static final double COLD_LARGEST = 0.3;
+    /** Unless with it all that all fronts send in a window is within this part of the rule's multiple. */
+    private static final double COLD_TOGETHER = 0.5;
     /** Usual work before any is known, as a share of aim times threads: high, so cold engines are spared. */
     private static final double WORK_PRIOR = 0.5;
     private static final int PRIORITY_LIGHT = 3, PRIORITY_HOLDER = 2, PRIORITY_USUAL = 1;
@@ -146,7 +148,7 @@
     /** The one guard of every send. */
     private boolean maySend(Query q, Host h) {
         return !q.closed && h.listed == Listed.READY && placed(q.kin.type, h) && attemptAllowed(q)
-                && keyTurn(q) && repeatAllowed(q, h) && coldRoom(h, q.kin);
+                && keyTurn(q) && repeatAllowed(q, h) && coldRoom(h, coldWeight(q));
     }
 
     private static boolean placed(Type type, Host h) {
@@ -188,7 +190,7 @@
      * send their part in the mean, and stay under the rule's multiple even if all use two draws at once.
      * A front that has just started does not know what it sent before, and waits one window.
      */
-    private boolean coldRoom(Host h, Kin kin) {
+    private boolean coldRoom(Host h, double weight) {
         Rules rules = settings.rules();
         long age = now - h.coldSince;
         if (h.coldSince == 0 || age >= rules.warmWithin()) {
@@ -201,12 +203,18 @@
             h.drawnUntil = now + (long) (rules.overloadFor() * (h.drawnUntil == 0 ? random.nextDouble() : 1));
             h.draw = random.nextDouble();
         }
-        double grown = (double) Math.max(0, age) / rules.warmWithin();
+        double grown = h.sure ? (double) Math.max(0, age) / rules.warmWithin() : 0;
         double share = rules.coldFrom() + (1 - rules.coldFrom()) * grown * grown;
         double whole = Math.min(1, COLD_FILL * rules.tipMultiple()) * share * h.cores * rules.overloadFor();
-        double weight = kin.usualWork();
+        double part = whole / settings.fronts();
         double spent = h.coldSends.since(now - rules.overloadFor());
-        return weight <= COLD_LARGEST * whole && spent + h.draw * weight <= whole / settings.fronts();
+        return weight <= COLD_LARGEST * whole ? spent + h.draw * weight <= part
+                : h.draw * weight <= part && spent + weight <= COLD_TOGETHER * rules.tipMultiple() * part;
+    }
+
+    /** An estimate counts only upwards: too low a one would send too much. */
+    private static double coldWeight(Query q) {
+        return Math.max(q.kin.usualWork(), q.size * q.kin.meanWork);
     }
 
     /** Gives the one final answer; after it nothing is sent for the request. */
@@ -408,7 +416,7 @@
         }
         h.book(a, 1);
         if (h.coldSince > 0 && now < h.coldSince + settings.rules().warmWithin()) {
-            h.coldSends.add(now, q.kin.usualWork());
+            h.coldSends.add(now, coldWeight(q));
         }
         Permissions may = settings.permissions();
         a.granted = !may.memory() ? 0 : q.memory * q.kin.memoryRatio;
@@ -769,6 +777,7 @@
                 ranked.add(h);
             }
             h.listed = e.listed();
+            h.sure = e.sure();
             if (e.startedAt() > h.startedAt) {
                 h.restarted(e.startedAt());
             }
--- a/src/main/java/cairnline/control/ControlApi.java
+++ b/src/main/java/cairnline/control/ControlApi.java
@@ -81,8 +81,17 @@
     /** State of an engine's process as listed. */
     enum Listed { READY, DRAINING, GONE }
 
-    /** A list entry; {@code startedAt} 0 means long ago. */
-    record Engine(String id, Listed listed, String zone, String kind, int cell, double size, long startedAt) { }
+    /**
+     * A list entry; {@code startedAt} 0 means long ago. Unless {@code sure}, it may have started at any time before, and
+     * may warm up as late as the rules let it.
+     */
+    record Engine(String id, Listed listed, String zone, String kind, int cell, double size, long startedAt,
+                  boolean sure) {
+        /** One whose start is known. */
+        public Engine(String id, Listed listed, String zone, String kind, int cell, double size, long startedAt) {
+            this(id, listed, zone, kind, cell, size, startedAt, true);
+        }
+    }
 
     /**
      * A client request; {@code budget} is how long before the client gives up. {@code hasKey}, {@code work} and
--- a/src/main/java/cairnline/control/EngineState.java
+++ b/src/main/java/cairnline/control/EngineState.java
@@ -22,6 +22,8 @@
     final Window coldSends = new Window();
     Listed listed = Listed.READY;
     long startedAt;
+    /** Whether that is known; else it may not warm up before the rules' last moment. */
+    boolean sure = true;
     /** When it is taken to have started; 0 if long ago. */
     long coldSince;
     int attempts;
--- a/src/main/java/cairnline/membership/ListedEngine.java
+++ b/src/main/java/cairnline/membership/ListedEngine.java
@@ -2,6 +2,15 @@
 
 import cairnline.control.ControlApi.Listed;
 
-/** An engine as the list has it; {@code startedAt} is 0 for long ago. */
+/**
+ * An engine as the list has it; {@code startedAt} is 0 for long ago. Unless {@code sure}, that is only when it was first
+ * seen: it may be as cold as one that starts then.
+ */
 public record ListedEngine(String id, String address, Listed listed, String zone, String kind, int cell, double size,
-                           long startedAt) { }
+                           long startedAt, boolean sure) {
+    /** One whose start is known. */
+    public ListedEngine(String id, String address, Listed listed, String zone, String kind, int cell, double size,
+                        long startedAt) {
+        this(id, address, listed, zone, kind, cell, size, startedAt, true);
+    }
+}
--- a/src/main/java/cairnline/membership/Member.java
+++ b/src/main/java/cairnline/membership/Member.java
@@ -69,6 +69,6 @@
         long startedAt = state == State.ALIVE || state == State.PROVEN ? Math.max(aliveSince, engine.startedAt())
                 : engine.startedAt();
         return new ListedEngine(engine.id(), engine.address(), listed, engine.zone(), engine.kind(), engine.cell(),
-                engine.size(), startedAt);
+                engine.size(), startedAt, state != State.ALIVE);
     }
 }
--- a/src/main/java/cairnline/program/Main.java
+++ b/src/main/java/cairnline/program/Main.java
@@ -3,9 +3,9 @@
 import cairnline.settings.SettingsException;
 import cairnline.simhost.WireException;
 import java.io.IOException;
+import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.IExecutionExceptionHandler;
 
 /** Entry point. Exits with 0 if all went well, 1 on a failure, 2 on wrong usage, settings or configuration. */
 @Command(name = "cairnline", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
@@ -33,8 +33,22 @@
         System.exit(run(args));
     }
 
+    /** A word without options needs no parser: on half a core the library adds 0.3 s to a start that takes as long. */
     static int run(String... args) {
-        return new CommandLine(new Main()).setExecutionExceptionHandler(handler()).execute(args);
+        Callable<Integer> plain = args.length != 1 ? null : args[0].equals("serve") ? new ServeCommand()
+                : args[0].equals("simhost") ? new SimhostCommand() : null;
+        if (plain == null) {
+            return parsed(args);
+        }
+        try {
+            return plain.call();
+        } catch (Exception e) {
+            return code(e);
+        }
+    }
+
+    private static int parsed(String[] args) {
+        return new CommandLine(new Main()).setExecutionExceptionHandler((e, command, parsed) -> code(e)).execute(args);
     }
 
     @Override
@@ -42,19 +56,18 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "which command? See --help");
     }
 
-    private static IExecutionExceptionHandler handler() {
-        return (e, command, parsed) -> {
-            if (e instanceof ConfigurationException) {
-                return leave(WRONG_USE, e.getMessage());
-            } else if (e instanceof SettingsException wrong) {
-                wrong.faults().forEach(fault -> leave(WRONG_USE, fault.toString()));
-                return WRONG_USE;
-            } else if (e instanceof WireException || e instanceof IOException) {
-                // An address that can't be had, say.
-                return leave(FAILED, e.getMessage());
-            }
-            throw e;
-        };
+    private static int code(Exception e) {
+        if (e instanceof ConfigurationException) {
+            return leave(WRONG_USE, e.getMessage());
+        } else if (e instanceof SettingsException wrong) {
+            wrong.faults().forEach(fault -> leave(WRONG_USE, fault.toString()));
+            return WRONG_USE;
+        } else if (e instanceof WireException || e instanceof IOException) {
+            // An address that can't be had, say.
+            return leave(FAILED, e.getMessage());
+        }
+        e.printStackTrace();
+        return FAILED;
     }
 
     private static int leave(int code, String message) {
--- a/src/main/java/cairnline/program/ManagerProcess.java
+++ b/src/main/java/cairnline/program/ManagerProcess.java
@@ -27,10 +27,15 @@
 
     /** One of so many, which follows this feed; {@code settings} is the text of its settings file, null for none. */
     ManagerProcess(Path folder, int self, int fronts, String feed, String settings) throws IOException {
+        this(folder, self, fronts, feed, settings, "{\"n\": 0, \"events\": []}");
+    }
+
+    /** The same with what its configuration knows of the feed. */
+    ManagerProcess(Path folder, int self, int fronts, String feed, String settings, String known) throws IOException {
         this.folder = Files.createDirectories(folder);
         port = freePort();
         config = Files.writeString(folder.resolve("config.json"), template().replace("@listen@", "127.0.0.1:" + port)
-                .replace("@feed@", feed).replace("@fronts@", Integer.toString(fronts))
+                .replace("@feed@", feed).replace("@known@", known).replace("@fronts@", Integer.toString(fronts))
                 .replace("@self@", Integer.toString(self)));
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
--- a/src/main/java/cairnline/standin/StandInFeed.java
+++ b/src/main/java/cairnline/standin/StandInFeed.java
@@ -23,7 +23,8 @@
 
     /** One engine of an event. */
     public record Host(String id, String address, String health, long bornMs) {
-        String json() {
+        /** The host as an event words it. */
+        public String json() {
             return "{\"host\":\"" + id + "\",\"dial\":\"" + address + "\",\"site\":\"dc1\",\"class\":\"std16\","
                     + "\"block\":0,\"health\":\"" + health + "\",\"share\":4,\"born_ms\":" + bornMs + "}";
         }
--- a/src/test/java/cairnline/control/RulesTest.java
+++ b/src/test/java/cairnline/control/RulesTest.java
@@ -8,7 +8,9 @@
 
 import cairnline.control.ControlApi.Effect;
 import cairnline.control.ControlApi.End;
+import cairnline.control.ControlApi.Engine;
 import cairnline.control.ControlApi.Listed;
+import cairnline.control.ControlApi.Request;
 import cairnline.control.ControlApi.Scope;
 import cairnline.control.Script.Site;
 import java.util.List;
@@ -320,4 +322,40 @@
         // The small class counts 0.5 x 0.6 s; half of 0.8 x 0.4 x 8 x 2 s are 2.56 s: nine whole queries at most.
         assertTrue(sent.size() <= 9, "sent to the cold engine: " + sent.size());
     }
+
+    /** Shown by its first sight alone, an engine may stay cold until the rules' last moment; a known start warms it. */
+    @Test
+    void anEngineWhoseStartIsNotKnownIsTakenForColdUntilItMustBeWarm() {
+        long[] sent = new long[2];
+        for (int sure = 0; sure < 2; sure++) {
+            Script.Site site = new Script.Site();
+            Script script = new Script(site);
+            long start = script.now;
+            script.change(new Engine("e", Listed.READY, "north", "plain", 0, 1, start, sure == 1));
+            // In one window near the end of the time to warm up, far more is asked than a cold engine may get.
+            script.now = start + 9 * Script.SECOND;
+            for (int i = 0; i < 100; i++) {
+                script.control.request(script.now, new Request("q" + i, "small", "one", false, 0, 3 * Script.SECOND,
+                        500 * Script.MS, 0, -1, false));
+            }
+            sent[sure] = script.count("send");
+        }
+        assertTrue(sent[0] > 0 && 3 * sent[0] <= 2 * sent[1], sent[0] + " to a doubtful one, " + sent[1] + " to the other");
+    }
+
+    /** A query too large for the part of one window goes alone: all fronts' together stay within the rule's half. */
+    @Test
+    void aLargeQueryGoesToAColdEngineOnlyWhileNoMoreIsSentThanAllFrontsMay() {
+        Script.Site site = new Script.Site();
+        site.coldFrom = 0.8;
+        Script script = new Script(site);
+        script.change(new Engine("e", Listed.READY, "north", "plain", 0, 1, script.now, false));
+        double bound = 0.5 * 2 * 0.8 * 8 * 2;
+        for (int i = 0; i < 20; i++) {
+            script.control.request(script.now, new Request("b" + i, "big", "one", false, 0, 15 * Script.SECOND,
+                    5 * Script.SECOND, 0, -1, false));
+        }
+        // Each counts as 6 s at least: what is usual for its class before any has been heard of.
+        assertTrue(script.count("send") >= 1 && script.count("send") * 6.0 <= bound, script.count("send") + " sent");
+    }
 }
