One way to relist an engine; a test holds the defaults of plain serve to the schema's

Seen on reading the change again: Core and Member each copied an engine to list it as gone, and the defaults without a settings file stand in code as well as in the schema (plain serve reads no schema, for its start's sake), with nothing to hold the two together. Change: ListedEngine.as, and a test that compares both readings. Behaviour is unchanged.

--- a/src/main/java/cairnline/membership/ListedEngine.java
+++ b/src/main/java/cairnline/membership/ListedEngine.java
@@ -13,4 +13,9 @@
                         long startedAt) {
         this(id, address, listed, zone, kind, cell, size, startedAt, true);
     }
+
+    /** The same engine, listed otherwise. */
+    public ListedEngine as(Listed other) {
+        return new ListedEngine(id, address, other, zone, kind, cell, size, startedAt, sure);
+    }
 }
--- a/src/main/java/cairnline/membership/Member.java
+++ b/src/main/java/cairnline/membership/Member.java
@@ -50,9 +50,7 @@
     }
 
     Member gone() {
-        ListedEngine ended = new ListedEngine(engine.id(), engine.address(), Listed.GONE, engine.zone(), engine.kind(),
-                engine.cell(), engine.size(), engine.startedAt());
-        return new Member(ended, State.GONE, trust, toldAt, aliveAt, 0, because);
+        return new Member(engine.as(Listed.GONE), State.GONE, trust, toldAt, aliveAt, 0, because);
     }
 
     Remembered remembered() {
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -458,7 +458,7 @@
             List<String> named = entries.stream().map(ListedEngine::id).toList();
             for (Engine engine : List.copyOf(engines.values())) {
                 if (!named.contains(engine.listed.id())) {
-                    become(engine, gone(engine.listed));
+                    become(engine, engine.listed.as(Listed.GONE));
                 }
             }
         }
@@ -547,11 +547,6 @@
         }
     }
 
-    private static ListedEngine gone(ListedEngine e) {
-        return new ListedEngine(e.id(), e.address(), Listed.GONE, e.zone(), e.kind(), e.cell(), e.size(),
-                e.startedAt());
-    }
-
     private void become(Engine engine, ListedEngine entry) {
         boolean was = engine.listed.listed() == Listed.READY;
         if (entry.startedAt() > engine.listed.startedAt()) {
--- a/src/test/java/cairnline/program/ConfigurationTest.java
+++ b/src/test/java/cairnline/program/ConfigurationTest.java
@@ -7,8 +7,11 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 class ConfigurationTest {
     private static String text() {
@@ -73,4 +76,12 @@
             assertEquals(fault[2], e.getMessage().split(":")[0]);
         }
     }
+
+    /** Plain serve reads no schema, for its start's sake: what it uses instead must be what the schema says. */
+    @Test
+    void withoutASettingsFileTheDefaultsAreThoseOfTheSchema(@TempDir Path folder) throws IOException {
+        ServeSettings none = ServeSettings.read(null, false, read(text()));
+        ServeSettings empty = ServeSettings.read(Files.writeString(folder.resolve("empty.cue"), ""), false, read(text()));
+        assertFalse(none.needsRestart(empty), none + " is not " + empty);
+    }
 }
