Read load reports by their names, and judge the others' load over all engines together

Checked: a trace of what the module believes by second. Every report had utilization=NaN and inflight=NaN, while the wire had {outstanding=.., utilization=.., x0, x1}; engines that jammed by memory (x0 3.3) with cores at 0.1 looked idle. Lines at fault: Core.load read "util" and "inflight"; Control.Host.fill took a front's own threads on one engine times 1/share (4 threads of one report stood for 56); best() took the best of twelve, so that all fronts that heard the same chose the same; probe() asked all engines in step, lost ones four times a second; what runs at draining engines counted against those that stay; cold engines counted as warm. Also: a closed stand-in engine waits for its accept thread; a successor at its port failed to bind.

--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -57,20 +57,20 @@
     private static final long REPORT_LIFE = SECOND;
     /** Weight of a report in this front's share of an engine: slow, since reports are late and noisy. */
     private static final double SHARE_GAIN = 0.03;
-    /** Own threads at which they say as much of all fronts' threads as reports do; about one query's. */
-    private static final double OWN_FEW = 2;
     /** Threads of a query before this front has sent any. */
     private static final double THREADS_PRIOR = 1.5;
     /** The start chance falls from 1 at the mark to 0 at the mark plus this share of it. */
     private static final double MARK_FALL = 0.5;
-    /** Engines looked at for a query: fronts that all took the best of all would take the same. */
-    private static final int SAMPLE = 12;
+    /** Engines that all fronts together look at while one chooses, and the least that each does. */
+    private static final int SAMPLE_ALL = 40, SAMPLE_LEAST = 2;
     /** Periods of notes after which an attempt counts as silent; one and a half pass where all is well. */
     private static final double SILENT_NOTES = 1.6;
     /** Engines at which a request fails before it is taken to be at fault itself. */
     private static final int ERRORS_MOST = 3;
-    /** Time between probes of an engine, and of one that may not be there any more. */
-    private static final long PROBE_EVERY = SECOND, PROBE_LOST = 250 * MS;
+    /** Time between looks at which engines are to be probed. */
+    private static final long PROBE_TICK = 50 * MS;
+    /** Odds from which an engine may not be there any more. */
+    private static final double LOST_ODDS = 0.5;
     /** Part of the rule's multiple that all fronts send a cold engine; two draws at once leave a fifth. */
     private static final double COLD_FILL = 0.4;
     /** A query above this part of what a cold engine can do in a window waits until the engine is warmer. */
@@ -80,6 +80,8 @@
     /** Usual work before any is known, as a share of aim times threads: high, so cold engines are spared. */
     private static final double WORK_PRIOR = 0.5;
     private static final int PRIORITY_LIGHT = 3, PRIORITY_HOLDER = 2, PRIORITY_USUAL = 1;
+    /** What a note foretells of an attempt's delay, in answers: shares done are rough. */
+    private static final double NOTE_WORTH = 0.5;
     /** A query that spills by then is sent again. */
     private static final long SPILL_EARLY = 100 * MS;
     /** Share of queries that may spill at the grant; a spill costs several times what spare memory does. */
@@ -100,6 +102,8 @@
     private static final long SHARE_WINDOW = 3 * SECOND;
     /** Sizes, in class means, are held between these: estimates are rough. */
     private static final double SIZE_LEAST = 0.3, SIZE_MOST = 40;
+    /** Time between looks at how warm engines are; they take a hundred times as long to become so. */
+    private static final long COUNT_EVERY = 100 * MS;
     private static final long TIMER_SWEEP = 1, TIMER_PROBE = 2;
 
     private final Settings settings;
@@ -107,6 +111,9 @@
     private final SplittableRandom random;
     private final Map<String, Fleet> fleets = new HashMap<>();
     private final long bornAt;
+    private final ProbeBudget probes;
+    /** Engines looked at for a query: fronts that all take the best of all take the same, and so jam it. */
+    private final int sample;
     private final Map<String, Kin> kinds = new LinkedHashMap<>();
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     /** The same engines, in an order drawn anew for each choice. */
@@ -119,7 +126,7 @@
     private final Window allAsked = new Window();
     private final Map<String, Window> asked = new HashMap<>();
     private final Set<Attempt> sent = new LinkedHashSet<>();
-    private long now, sequence, markedAt, awakeAt;
+    private long now, sequence, markedAt, awakeAt, countedAt;
     private long wakeAt = Long.MAX_VALUE;
     private double mark = MARK;
     private final Health.Usual usual = new Health.Usual();
@@ -130,6 +137,8 @@
         this.out = out;
         this.random = new SplittableRandom(seed);
         this.bornAt = now;
+        this.sample = Math.max(SAMPLE_LEAST, (int) Math.round((double) SAMPLE_ALL / settings.fronts()));
+        this.probes = new ProbeBudget(settings.probePrice(), now, random.split());
         this.now = now;
         for (Type type : settings.types()) {
             kinds.put(type.name(), new Kin(type, kinds.size()));
@@ -139,7 +148,7 @@
             out.follow();
         }
         if (settings.permissions().probes()) {
-            out.wake(PROBE_LOST, TIMER_PROBE);
+            out.wake(PROBE_TICK, TIMER_PROBE);
         }
     }
 
@@ -203,9 +212,8 @@
             h.drawnUntil = now + (long) (rules.overloadFor() * (h.drawnUntil == 0 ? random.nextDouble() : 1));
             h.draw = random.nextDouble();
         }
-        double grown = h.sure ? (double) Math.max(0, age) / rules.warmWithin() : 0;
-        double share = rules.coldFrom() + (1 - rules.coldFrom()) * grown * grown;
-        double whole = Math.min(1, COLD_FILL * rules.tipMultiple()) * share * h.cores * rules.overloadFor();
+        double whole = Math.min(1, COLD_FILL * rules.tipMultiple()) * h.warmth(rules, now) * h.cores
+                * rules.overloadFor();
         double part = whole / settings.fronts();
         double spent = h.coldSends.since(now - rules.overloadFor());
         return weight <= COLD_LARGEST * whole ? spent + h.draw * weight <= part
@@ -267,6 +275,7 @@
         double work = kin.workOf(r);
         Query q = new Query(r, kin, now, sequence++, work, kin.sizeOf(work), waited(r, kin));
         kin.asked++;
+        probes.asked(now);
         kin.patience = Math.max(kin.patience, r.budget());
         q.overShare = overShare(r.tenant());
         queries.put(q.id, q);
@@ -351,7 +360,7 @@
         Choice best = null;
         double least = 0;
         boolean roomy = false;
-        for (int i = 0, seen = 0; i < ranked.size() && seen < SAMPLE; i++) {
+        for (int i = 0, seen = 0; i < ranked.size() && seen < sample; i++) {
             Collections.swap(ranked, i, i + random.nextInt(ranked.size() - i));
             Host h = ranked.get(i);
             if (!evenSick && (h == q.avoid || h.health.odds(now) > 1) || !maySend(q, h)) {
@@ -374,8 +383,9 @@
     private double predict(Query q, Host h) {
         Predictor p = h.predictors.get(q.kin.index);
         double crowd = h.crowd(q.kin.type.threads(), now);
-        double base = p.t > 0 ? p.predict(now, q.kin.rho, crowd, q.kin.meanCrowd)
-                : q.kin.usualDelay() * crowd / q.kin.meanCrowd;
+        double others = q.kin.usualDelay() * h.pace.factor(now) * crowd / q.kin.meanCrowd;
+        double own = p.t > 0 ? p.predict(now, q.kin.rho, crowd, q.kin.meanCrowd) : others;
+        double base = others * StrictMath.pow(own / others, p.trust(now));
         boolean waits = q.kin.type.holdsTables() || q.kin.type.waitsForHolder();
         return base * q.size * (waits && h.holding.containsKey(q.tables) ? HELD_FACTOR : 1);
     }
@@ -605,6 +615,7 @@
         double crowd = h.crowd(kin.type.threads(), now);
         Predictor p = h.predictors.get(kin.index);
         kin.usual = smooth(kin.usual, Math.max(1, o.rtt() / size));
+        h.pace.hear(o.rtt() / size / kin.usual * kin.meanCrowd / crowd, 1, now);
         p.learn(o.rtt() / size, now, crowd, kin);
         kin.ratio = smooth(kin.ratio, Math.min(RHO_MAX, Math.max(1, o.rtt() / size / p.tMin)));
     }
@@ -648,16 +659,21 @@
         }
     }
 
-    /** Asks engines for their load in turn, and one that may not be there any more whether it is. */
+    /** Asks engines for their load as often as that pays, and whether one that may be lost is there. */
     private void probe() {
         for (Host h : hosts.values()) {
-            boolean lost = h.health.odds(now) > 0.5;
-            if (h.listed == Listed.READY && now >= h.probedAt + (lost ? PROBE_LOST : PROBE_EVERY)) {
-                h.probedAt = now;
+            boolean lost = h.health.odds(now) > LOST_ODDS;
+            if (lost && h.lostProbes == 0) {
+                h.lostProbes = 1;
+                h.probeAt = Math.min(h.probeAt, probes.next(now, hosts.size(), 1));
+            }
+            if (h.listed == Listed.READY && now >= h.probeAt) {
+                h.lostProbes = lost ? h.lostProbes + 1 : 0;
+                h.probeAt = probes.next(now, hosts.size(), h.lostProbes);
                 out.probe(h.id);
             }
         }
-        out.wake(PROBE_LOST, TIMER_PROBE);
+        out.wake(PROBE_TICK, TIMER_PROBE);
     }
 
     @Override
@@ -690,6 +706,9 @@
             Kin kin = a.query.kin;
             double whole = a.stood + (now - a.sentAt - a.stood) / Math.max(n.amount(), PROGRESS_LEAST);
             a.endsAt = a.sentAt + (long) whole;
+            if (kin.usual > 0) {
+                a.host.pace.hear(whole / a.query.size / kin.usual, NOTE_WORTH, now);
+            }
             if (light(kin) && whole > RUNAWAY * kin.usualDelay() * a.query.size) {
                 a.host.report(Load.NONE, true, now);
             }
@@ -772,8 +791,10 @@
                 if (e.listed() == Listed.GONE) {
                     continue;
                 }
-                h = new Host(e, settings, fleets.computeIfAbsent(e.kind(), kind -> new Fleet()));
+                h = new Host(e, settings, fleets.computeIfAbsent(e.kind(), 
+                        kind -> new Fleet(settings.fronts())));
                 hosts.put(e.id(), h);
+                h.probeAt = probes.first(now, hosts.size());
                 ranked.add(h);
             }
             h.listed = e.listed();
@@ -786,6 +807,7 @@
         }
         hosts.values().removeIf(h -> h.listed == Listed.GONE && h.attempts == 0);
         ranked.retainAll(hosts.values());
+        count();
         release();
     }
 
@@ -797,11 +819,26 @@
         }
     }
 
+    /** Takes stock of the cores that are ready, as warm as they are. */
+    private void count() {
+        countedAt = now;
+        fleets.values().forEach(Fleet::clear);
+        for (Host h : hosts.values()) {
+            h.warmth = h.warmth(settings.rules(), now);
+            if (h.listed == Listed.READY) {
+                h.fleet.count(h.cores * h.warmth, h.attempts, h.threads);
+            }
+        }
+    }
+
     private void tick(long time) {
         if (time < now) {
             throw new IllegalArgumentException("time runs backwards: " + time + " after " + now);
         }
         now = time;
+        if (now >= countedAt + COUNT_EVERY) {
+            count();
+        }
     }
 
     // ---- State ----
@@ -879,7 +916,9 @@
         final Fleet fleet;
         final List<Predictor> predictors = new ArrayList<>();
         Health health = new Health();
-        long reportedAt, drawnUntil, probedAt;
+        Pace pace = new Pace();
+        long reportedAt, drawnUntil, probeAt;
+        int lostProbes;
         double foreignThreads, share, draw;
 
         Host(Engine e, Settings settings, Fleet fleet) {
@@ -893,6 +932,7 @@
             startedAt = at;
             coldSince = at;
             health = new Health();
+            pace = new Pace();
             foreignThreads = 0;
             reportedAt = at;
             predictors.forEach(p -> p.t = 0);
@@ -909,30 +949,32 @@
             if (all < 0) {
                 return;
             }
-            if (threads > 0 && (load.inflight() >= 0 || busy < BUSY_KNOWN)) {
-                share += SHARE_GAIN * trust(MARK) * (Math.min(1, threads / Math.max(all, threads)) - share);
+            if (load.inflight() >= 0 || busy < BUSY_KNOWN) {
+                fleet.hear(threads, Math.max(all, threads), cores, now);
+                if (threads > 0) {
+                    double part = Math.min(1, threads / Math.max(all, threads));
+                    share += SHARE_GAIN * trust(MARK) * (part - share);
+                }
             }
             double byMemory = load.memory() > 0 ? load.memory() / MEMORY_MARK * MARK * cores : 0;
             foreignThreads = Math.max(0, Math.max(all, byMemory) - threads);
             reportedAt = now;
-            fleet.hear(foreignThreads / cores, now);
         }
 
         /** Others by the last report here, which as it ages gives way to what recent reports say together. */
         double foreign(long now) {
-            double usual = fleet.others(now) * cores;
+            double usual = fleet.others(MARK, now) * cores * warmth;
             return usual + (foreignThreads - usual) / (1 + (double) (now - reportedAt) / REPORT_LIFE);
         }
 
         /** How much slower than alone a query runs with what is thought to be there. */
         double crowd(int more, long now) {
-            return 1 + (threads + foreign(now) + more) / cores;
+            return 1 + (threads + foreign(now) + more) / (cores * warmth);
         }
 
         /** How far own threads tell of all: by how many of them the mark would mean. */
         private double trust(double mark) {
-            double few = OWN_FEW / (share * cores * mark);
-            return 1 / (1 + few * few * few * few);
+            return Fleet.trust(share * cores * mark);
         }
 
         /**
@@ -942,14 +984,15 @@
         double fill(int more, long now, double mark) {
             double own = threads + more;
             double trust = trust(mark);
-            return (trust * own / share + (1 - trust) * (own + foreign(now))) / (cores * mark);
+            return (trust * own / share + (1 - trust) * (own + foreign(now))) / (cores * warmth * mark);
         }
 
         /** Books an attempt on (1) or off (-1). */
         void book(Attempt a, int count) {
             add(a.query.kin.type, a.query.tables, count);
-            fleet.attempts += count;
-            fleet.threads += count * a.query.kin.type.threads();
+            if (listed == Listed.READY) {
+                fleet.count(0, count, count * a.query.kin.type.threads());
+            }
             Set<Attempt> inFlight = predictors.get(a.query.kin.index).inFlight;
             if (count > 0) {
                 inFlight.add(a);
--- a/src/main/java/cairnline/control/ControlApi.java
+++ b/src/main/java/cairnline/control/ControlApi.java
@@ -167,11 +167,12 @@
      * All that a front is told at start. {@code grantCap} is the share of an engine's memory one query gets at most;
      * {@code overShareWorth} the part of its worth that a request past its tenant's share keeps; {@code follow} is
      * true where the list must be asked for; {@code notePeriod} the time between notes on an attempt, 0 without;
-     * {@code marksRepeats} is true where clients mark a request that they ask again.
+     * {@code marksRepeats} is true where clients mark a request that they ask again; {@code probePrice} is the part of the worth asked for that a
+     * probe for each request costs.
      */
     record Settings(int self, int fronts, String zone, List<Type> types, List<Tenant> tenants, Map<String, Kind> kinds,
                     Permissions permissions, Rules rules, double overShareWorth, double grantCap, boolean follow,
-                    long notePeriod, boolean marksRepeats) {
+                    long notePeriod, boolean marksRepeats, double probePrice) {
         /** Rejects settings that contradict themselves. */
         public Settings {
             require(fronts >= 1 && self >= 0, "a front needs a number and a group of at least one");
@@ -192,7 +193,7 @@
             Permissions without = new Permissions(p.attempts(), p.cancel(), p.secondCopies(), false, p.peers(),
                     p.retryAfter(), p.maxRetryAfter(), p.memory(), p.priority());
             return new Settings(self, fronts, zone, types, tenants, kinds, without, rules, overShareWorth, grantCap,
-                    follow, 0, marksRepeats);
+                    follow, 0, marksRepeats, probePrice);
         }
 
         private static void require(boolean held, String message) {
--- a/src/main/java/cairnline/control/EngineState.java
+++ b/src/main/java/cairnline/control/EngineState.java
@@ -3,6 +3,7 @@
 import cairnline.control.ControlApi.Engine;
 import cairnline.control.ControlApi.Kind;
 import cairnline.control.ControlApi.Listed;
+import cairnline.control.ControlApi.Rules;
 import cairnline.control.ControlApi.Scope;
 import cairnline.control.ControlApi.Type;
 
@@ -28,6 +29,8 @@
     long coldSince;
     int attempts;
     int threads;
+    /** Part of its capacity that it has, when last looked at. */
+    double warmth = 1;
 
     EngineState(Engine e, Kind machine) {
         this.id = e.id();
@@ -45,6 +48,16 @@
         };
     }
 
+    /** Part of its capacity that it has at least: a start that is not known may be as late as now. */
+    final double warmth(Rules rules, long now) {
+        long age = now - coldSince;
+        if (coldSince == 0 || age >= rules.warmWithin()) {
+            return 1;
+        }
+        double grown = sure ? (double) Math.max(0, age) / rules.warmWithin() : 0;
+        return rules.coldFrom() + (1 - rules.coldFrom()) * grown * grown;
+    }
+
     /** Books one attempt of a class on (1) or off (-1). */
     final void add(Type type, int tables, int count) {
         attempts += count;
--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -204,7 +204,7 @@
         Rules rules = new Rules(r.drainGrace(), r.coldFrom(), r.warmWithin(), r.tipMultiple(), r.overloadFor(),
                 r.keyRest() + REST_SLACK_NANOS, r.spareAttempts(), r.extraPerRequest(), r.lookBack());
         return new Settings(s.self(), s.fronts(), s.zone(), s.types(), s.tenants(), s.kinds(), s.permissions(), rules,
-                s.overShareWorth(), s.grantCap(), s.follow(), s.notePeriod(), s.marksRepeats());
+                s.overShareWorth(), s.grantCap(), s.follow(), s.notePeriod(), s.marksRepeats(), s.probePrice());
     }
 
     /** Nested values by their paths, as the simulator's first message words them. */
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -423,16 +423,7 @@
             membership.probeEnded(now, engineId);
         }
         tell(() -> control.probed(moduleNow(), engineId, report != null, Clock.toModule(now - askedAt),
-                load(report)));
-    }
-
-    private static Load load(Map<String, Double> report) {
-        if (report == null) {
-            return Load.NONE;
-        }
-        return new Load(report.getOrDefault("util", Double.NaN), Double.NaN,
-                report.getOrDefault("inflight", Double.NaN), report.getOrDefault("x0", Double.NaN),
-                report.getOrDefault("x1", Double.NaN));
+                LoadReport.of(report)));
     }
 
     @Override
--- a/src/main/java/cairnline/standin/StandInRespEngine.java
+++ b/src/main/java/cairnline/standin/StandInRespEngine.java
@@ -40,8 +40,10 @@
     private static final int PART_MOST = 300_000;
     private static final long NOTE_EVERY = 1_000_000;
     private static final int STACK = 256 * 1024;
+    private static final long CLOSE_MS = 5_000;
 
     private final ServerSocket server;
+    private final Thread accepting;
     private final Manner manner;
     private final Map<String, Cost> costs;
     private final EngineModel model;
@@ -60,7 +62,7 @@
         this.manner = manner;
         this.costs = costs;
         this.model = new EngineModel(shape, cold, micros());
-        daemon("stand-in accepts", this::accept);
+        this.accepting = daemon("stand-in accepts", this::accept);
         daemon("stand-in runs", this::work);
     }
 
@@ -97,7 +99,7 @@
         void run() throws IOException, InterruptedException;
     }
 
-    private static void daemon(String name, Task task) {
+    private static Thread daemon(String name, Task task) {
         Thread thread = new Thread(null, () -> {
             try {
                 task.run();
@@ -109,6 +111,7 @@
         }, name, STACK);
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     private void accept() throws IOException {
@@ -216,15 +219,23 @@
 
     /** Ends as a process that dies does: connections are reset, and its port refuses. */
     @Override
-    public synchronized void close() throws IOException {
-        closed = true;
+    public void close() throws IOException {
         server.close();
-        for (Socket socket : sockets) {
-            if (!socket.isClosed()) {
-                socket.setSoLinger(true, 0);
-                socket.close();
+        synchronized (this) {
+            closed = true;
+            for (Socket socket : sockets) {
+                if (!socket.isClosed()) {
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                }
             }
+            notifyAll();
+        }
+        try {
+            // While its accept() has not returned the port is still taken, and a successor there can't start.
+            accepting.join(CLOSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
-        notifyAll();
     }
 }
