Expect a query's work by regression on its estimate, and let large ones pay for full engines

The delay is proportional to the work (stretch 1.9 at every size), so the prediction by size is right; what is told is not: told/work is 0.25, 0.7, 1.8 at p10, p50, p90, and workRatio, a mean of ratios, was 1.8 to 2.0. A lookup told as twelve times the usual needs about three times and was refused. Lines at fault: Control.Kin.workOf (estimate times mean ratio); payoff's price, which began at 1.5 times the usual size and was met only by such wrong sizes; Fleet.hear left out memory, by which engines jam (x0 up to 3.8, cores at 0.1). Change: WorkEstimate; price 1 from the usual size; memory granted counts in the pooled figure, mark 0.9.

--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -46,7 +46,7 @@
     /** The mark's floor and step a second; it falls while light classes' load ratio is above the last. */
     private static final double MARK_LEAST = 1.2, MARK_STEP = 0.3, MARK_RHO = 2.5;
     /** Share of memory granted at the mark; beyond it queries spill or all slow down. */
-    private static final double MEMORY_MARK = 0.7;
+    private static final double MEMORY_MARK = 0.9;
     /** Utilization up to which it tells how many threads run; fuller cores hide any number of them. */
     private static final double BUSY_KNOWN = 0.85;
     /** Further threads per core that fully busy cores stand for: enough to lie past the mark. */
@@ -93,10 +93,10 @@
     /** Shares done are rough: below the first they are taken as it, past the second nothing is called off. */
     private static final double PROGRESS_LEAST = 0.01;
     private static final double DONE_ENOUGH = 0.6;
-    /** The paper's marginal cost: worth of a full engine's time to others, as a share of the query's. */
-    private static final double PRICE = 0.3;
-    /** A query this many times its class's usual work pays for a full engine's time; smaller ones go free. */
-    private static final double DEAR_SIZE = 1.5;
+    /** The paper's marginal cost: worth of a full engine's time to others, as a share of the class's. */
+    private static final double PRICE = 1;
+    /** A query over this many times its class's usual work pays for a full engine's time, by the excess. */
+    private static final double DEAR_SIZE = 1;
     /** A tenant is over its share past this multiple of it in the window; counts there are small. */
     private static final double OVER_SHARE = 1.6;
     private static final long SHARE_WINDOW = 3 * SECOND;
@@ -849,7 +849,8 @@
         final int index;
         final TreeSet<Query> held = new TreeSet<>(Query.BY_DEADLINE);
         final double priorWork;
-        double meanWork, workRatio = 1, memoryRatio = 1;
+        final WorkEstimate estimate = new WorkEstimate();
+        double meanWork, memoryRatio = 1;
         long patience;
         double asked = 1, errorSquare, wait, rho = 1, usual, ratio = 1, meanMin, meanCrowd = 1;
 
@@ -870,7 +871,7 @@
         }
 
         double workOf(Request r) {
-            return r.work() > 0 ? r.work() * workRatio : meanWork;
+            return r.work() > 0 ? estimate.expected(r.work()) : meanWork;
         }
 
         double sizeOf(double work) {
@@ -885,7 +886,7 @@
         void learnWork(double work, double told) {
             meanWork += CLASS_GAIN * (work - meanWork);
             if (told > 0) {
-                workRatio += CLASS_GAIN * (Math.min(4, work / told) - workRatio);
+                estimate.learn(told, work);
             }
         }
 
@@ -949,14 +950,14 @@
             if (all < 0) {
                 return;
             }
+            double byMemory = load.memory() > 0 ? load.memory() / MEMORY_MARK * MARK * cores : 0;
             if (load.inflight() >= 0 || busy < BUSY_KNOWN) {
-                fleet.hear(threads, Math.max(all, threads), cores, now);
+                fleet.hear(threads, Math.max(byMemory, Math.max(all, threads)), cores, now);
                 if (threads > 0) {
                     double part = Math.min(1, threads / Math.max(all, threads));
                     share += SHARE_GAIN * trust(MARK) * (part - share);
                 }
             }
-            double byMemory = load.memory() > 0 ? load.memory() / MEMORY_MARK * MARK * cores : 0;
             foreignThreads = Math.max(0, Math.max(all, byMemory) - threads);
             reportedAt = now;
         }
--- a/src/test/java/cairnline/control/ManyFrontsTest.java
+++ b/src/test/java/cairnline/control/ManyFrontsTest.java
@@ -159,6 +159,24 @@
         assertTrue(idle <= 6, "of 56 fronts so many chose the idle engine: " + idle);
     }
 
+    /** Engines that page by memory have idle cores: by their threads alone the others seemed to have room. */
+    @Test
+    void memoryThatSomeEnginesReportAsOvercommittedCountsForAll() {
+        site.probes = true;
+        site.fronts = 14;
+        Script s = new Script(site);
+        s.control.engines(s.now, true, large(30));
+        for (int round = 0; round < 3; round++) {
+            for (int i = 0; i < 20; i++) {
+                s.control.probed(s.now, "e" + i, true, MS, new Load(0.1, 0, 2, 2.5, 0.1));
+            }
+        }
+        for (int i = 0; i < 12; i++) {
+            s.take("b" + i, "big");
+        }
+        assertTrue(s.count("send") < 12, "sent: " + s.count("send"));
+    }
+
     /** An engine that has just started once counted for a warm one in how full it and the fleet are. */
     @Test
     void aColdEngineCountsByItsCapacityOfTheMoment() {
