Look at engines for a schema in one order at all managers; loads keep away from its queries

Fourteen managers that each spread a schema over all engines make every engine read every schema, so that none stays warm, and let every load hold up the others' lookups. Lines at fault: Control.best drew the engines it looks at without regard to the query's tables. Change: Placement, rendezvous hashing of engine id and schema; queries look at the first few, further on while these are full; a load takes the later of two drawn. With 3 managers and 8 engines all are looked at, as before.

--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -63,6 +63,8 @@
     private static final double MARK_FALL = 0.5;
     /** Engines that all fronts together look at while one chooses, and the least that each does. */
     private static final int SAMPLE_ALL = 40, SAMPLE_LEAST = 2;
+    /** Samples that a query looks through while there is no room at the engines of its group of tables. */
+    private static final int SPILL_SAMPLES = 3;
     /** Periods of notes after which an attempt counts as silent; one and a half pass where all is well. */
     private static final double SILENT_NOTES = 1.6;
     /** Engines at which a request fails before it is taken to be at fault itself. */
@@ -360,8 +362,9 @@
         Choice best = null;
         double least = 0;
         boolean roomy = false;
-        for (int i = 0, seen = 0; i < ranked.size() && seen < sample; i++) {
-            Collections.swap(ranked, i, i + random.nextInt(ranked.size() - i));
+        int most = q.tables < 0 || q.kin.type.holdsTables() ? sample : sample * SPILL_SAMPLES;
+        for (int i = 0, seen = 0; i < ranked.size() && (seen < sample || !roomy && seen < most); i++) {
+            Collections.swap(ranked, i, next(q, i));
             Host h = ranked.get(i);
             if (!evenSick && (h == q.avoid || h.health.odds(now) > 1) || !maySend(q, h)) {
                 continue;
@@ -379,6 +382,23 @@
         return best;
     }
 
+    /** The engine to look at next, among those from there on: by its group of tables where that is known. */
+    private int next(Query q, int from) {
+        int drawn = from + random.nextInt(ranked.size() - from);
+        if (q.tables < 0) {
+            return drawn;
+        } else if (q.kin.type.holdsTables()) {
+            // Loads of a group stand behind each other too: they are spread, only not where its queries meet.
+            int other = from + random.nextInt(ranked.size() - from);
+            return Placement.before(ranked.get(drawn).seed, ranked.get(other).seed, q.tables) ? other : drawn;
+        }
+        int first = from;
+        for (int i = from + 1; i < ranked.size(); i++) {
+            first = Placement.before(ranked.get(i).seed, ranked.get(first).seed, q.tables) ? i : first;
+        }
+        return first;
+    }
+
     /** The paper's prediction, for this query's size, at this engine's crowd. */
     private double predict(Query q, Host h) {
         Predictor p = h.predictors.get(q.kin.index);
--- a/src/main/java/cairnline/control/EngineState.java
+++ b/src/main/java/cairnline/control/EngineState.java
@@ -17,6 +17,8 @@
     final String kind;
     final int cell;
     final int cores;
+    /** Its part of the order in which engines are looked at. */
+    final long seed;
     /** Loads of this front that hold a group of tables here. */
     final Map<Integer, Integer> holding = new HashMap<>();
     /** Work sent while cold. */
@@ -37,6 +39,7 @@
         this.zone = e.zone();
         this.kind = e.kind();
         this.cell = e.cell();
+        this.seed = Placement.seed(e.id());
         this.cores = machine == null ? 1 : machine.cores();
     }
 
--- /dev/null
+++ b/src/main/java/cairnline/control/Placement.java
@@ -0,0 +1,42 @@
+package cairnline.control;
+
+/**
+ * In which order engines are looked at for a group of tables, by rendezvous hashing (highest random weight, Thaler and
+ * Ravishankar 1998); pure functions.
+ *
+ * <p>Fronts that each spread a group over all engines make every engine read every group, so that none stays warm, and
+ * let every load hold up the others' queries. With the same order everywhere, without a word between them, a group's
+ * queries meet on a few engines that keep it warm, and its loads keep away from there. The order
+ * covers all engines evenly over all groups, and an engine that comes or goes moves only its own part.
+ */
+final class Placement {
+    /** Odd constants of the 64-bit finalizer of MurmurHash3. */
+    private static final long MIX_1 = 0xff51afd7ed558ccdL, MIX_2 = 0xc4ceb9fe1a85ec53L;
+
+    private Placement() { }
+
+    /** An engine's own part of its rank: the same at all fronts, from nothing but its id. */
+    static long seed(String engine) {
+        long hash = 0;
+        for (int i = 0; i < engine.length(); i++) {
+            hash = mix(hash * 31 + engine.charAt(i));
+        }
+        return hash;
+    }
+
+    /** Its rank for this group: queries of the group look at the engines of least rank first. */
+    static long rank(long engineSeed, int tables) {
+        return mix(engineSeed ^ mix(tables + 1L));
+    }
+
+    /** Whether queries of this group look at the first engine before the second. */
+    static boolean before(long first, long second, int tables) {
+        return rank(first, tables) < rank(second, tables);
+    }
+
+    private static long mix(long value) {
+        long x = (value ^ (value >>> 33)) * MIX_1;
+        x = (x ^ (x >>> 33)) * MIX_2;
+        return x ^ (x >>> 33);
+    }
+}
--- /dev/null
+++ b/src/test/java/cairnline/control/PlacementTest.java
@@ -0,0 +1,114 @@
+package cairnline.control;
+
+import static cairnline.control.Script.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cairnline.control.ControlApi.Engine;
+import cairnline.control.ControlApi.Listed;
+import cairnline.control.ControlApi.Request;
+import cairnline.control.Script.Site;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** The order of engines by group of tables, and what fourteen fronts that keep it do together. */
+class PlacementTest {
+    private static final int FRONTS = 14;
+    private static final int ENGINES = 60;
+    private static final int GROUPS = 2_000;
+
+    private static List<String> firstThree(List<String> engines, int group) {
+        return engines.stream().sorted(Comparator.comparingLong(e -> Placement.rank(Placement.seed(e), group)))
+                .limit(3).toList();
+    }
+
+    private static List<String> ids(int count) {
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ids.add("s-" + i);
+        }
+        return ids;
+    }
+
+    @Test
+    void allEnginesAreCoveredEvenlyOverAllGroups() {
+        Map<String, Integer> groups = new HashMap<>();
+        for (int g = 0; g < GROUPS; g++) {
+            firstThree(ids(ENGINES), g).forEach(e -> groups.merge(e, 1, Integer::sum));
+        }
+        assertEquals(ENGINES, groups.size());
+        double mean = 3.0 * GROUPS / ENGINES;
+        groups.forEach((e, n) -> assertTrue(n > mean / 2 && n < mean * 2, e + " has " + n + " of " + mean));
+    }
+
+    @Test
+    void anEngineThatGoesMovesOnlyItsOwnPart() {
+        List<String> fewer = new ArrayList<>(ids(ENGINES));
+        fewer.remove("s-17");
+        for (int g = 0; g < GROUPS; g++) {
+            List<String> before = firstThree(ids(ENGINES), g);
+            if (!before.contains("s-17")) {
+                assertEquals(before, firstThree(fewer, g));
+            }
+        }
+    }
+
+    /** Engines that get a group's requests of this class from all fronts, each of which sends this many. */
+    private static Set<String> used(Site site, String type, int each) {
+        site.fronts = FRONTS;
+        Set<String> used = new HashSet<>();
+        for (int f = 0; f < FRONTS; f++) {
+            Script s = new Script(site, 100 * SECOND, 70 + f);
+            List<Engine> all = new ArrayList<>();
+            ids(ENGINES).forEach(id -> all.add(Script.engine(id, Listed.READY, "large", 0)));
+            s.control.engines(s.now, true, all);
+            for (int i = 0; i < each; i++) {
+                s.control.request(s.now, new Request("q" + i, type, "one", false, 0, 3 * SECOND, 0, 0, 5, false));
+                used.add(s.engineOf("q" + i));
+            }
+        }
+        return used;
+    }
+
+    /** Each front once spread each group over all engines: none stayed warm for it. */
+    @Test
+    void aGroupsQueriesOfAllFrontsMeetOnAFewEngines() {
+        Set<String> used = used(new Site(), "small", 1);
+        assertTrue(used.size() <= 3 && firstThree(ids(ENGINES), 5).containsAll(used), "engines: " + used);
+    }
+
+    @Test
+    void aGroupsLoadsKeepAwayFromItsQueriesAndFromEachOther() {
+        Site site = new Site();
+        site.bigHolds = true;
+        Set<String> used = used(site, "big", 2);
+        assertTrue(used.size() >= 14, "engines with its loads: " + used.size());
+        long met = firstThree(ids(ENGINES), 5).stream().filter(used::contains).count();
+        assertTrue(met <= 1, "of its first three so many have a load: " + met);
+    }
+
+    /** A hot group must not jam its engines while others have room. */
+    @Test
+    void aHotGroupSpillsToTheNextEngines() {
+        Site site = new Site();
+        site.fronts = FRONTS;
+        Script s = new Script(site, 100 * SECOND, 3);
+        List<Engine> all = new ArrayList<>();
+        ids(ENGINES).forEach(id -> all.add(Script.engine(id, Listed.READY, "large", 0)));
+        s.control.engines(s.now, true, all);
+        Map<String, Integer> sent = new HashMap<>();
+        for (int i = 0; i < 120; i++) {
+            s.control.request(s.now, new Request("q" + i, "small", "one", false, 0, 3 * SECOND, 0, 0, 5, false));
+            if (s.count("send q" + i + " ") > 0) {
+                sent.merge(s.engineOf("q" + i), 1, Integer::sum);
+            }
+        }
+        assertTrue(sent.size() >= 5, "engines used: " + sent);
+    }
+}
