--- a/src/test/java/cairnline/program/ConfigurationTest.java
+++ b/src/test/java/cairnline/program/ConfigurationTest.java
@@ -40,6 +40,30 @@
         assertFalse(configuration.classes().get("lookup").keyed());
     }
 
+    /** How many managers there are decides probes, samples and shares: one that is not told counts as alone. */
+    @Test
+    void theNumberOfManagersIsAtLeastOne() {
+        String told = "\"groupSize\": ";
+        int at = text().indexOf(told) + told.length();
+        assertTrue(at > told.length(), "the configuration tells it");
+        String rest = text().substring(at).replaceFirst("^\\d+", "");
+        assertEquals(14, read(text().substring(0, at) + 14 + rest).settings().fronts());
+        assertEquals(1, read(text().substring(0, at) + 1 + rest).settings().fronts());
+        assertEquals(1, read(text().replace(told, "\"other\": ")).settings().fronts());
+        ConfigurationException e = assertThrows(ConfigurationException.class,
+                () -> read(text().substring(0, at) + 0 + rest));
+        assertTrue(e.getMessage().startsWith("settings: "), e.getMessage());
+    }
+
+    /** What the platform refuses: other processes, IPv6 sockets, fronts and disks that a settings file would turn on. */
+    @Test
+    void theDeployFilesRunIsOneProcessOnIpv4WithoutSettings() throws IOException {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+        assertTrue(run.matches("run = \"exec java [^;&|]* -jar target/cairnline.jar serve\""), run);
+        assertTrue(run.contains("-Djava.net.preferIPv4Stack=true"), run);
+    }
+
     @Test
     void aKeyRestsLongerThanTheSettingsSay() {
         // 300 ms are told; an attempt given up early counts as out until its client's time is up.
