Find the first engine for a schema in one pass; comments say what probes stand outside the budget

Read again: Control.next hashed the leading engine anew at every step of the loop, for each engine looked at; the loop now stands in Placement, where each engine is hashed once. The comment on `ranked` was out of date, and a line ended in a blank.

--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -118,7 +118,7 @@
     private final int sample;
     private final Map<String, Kin> kinds = new LinkedHashMap<>();
     private final Map<String, Host> hosts = new LinkedHashMap<>();
-    /** The same engines, in an order drawn anew for each choice. */
+    /** The same engines; each choice moves those that it looks at to the front. */
     private final List<Host> ranked = new ArrayList<>();
     private final Map<String, Query> queries = new HashMap<>();
     private final Map<Long, Line> lines = new LinkedHashMap<>();
@@ -392,11 +392,7 @@
             int other = from + random.nextInt(ranked.size() - from);
             return Placement.before(ranked.get(drawn).seed, ranked.get(other).seed, q.tables) ? other : drawn;
         }
-        int first = from;
-        for (int i = from + 1; i < ranked.size(); i++) {
-            first = Placement.before(ranked.get(i).seed, ranked.get(first).seed, q.tables) ? i : first;
-        }
-        return first;
+        return Placement.first(ranked, from, q.tables);
     }
 
     /** The paper's prediction, for this query's size, at this engine's crowd. */
@@ -811,7 +807,7 @@
                 if (e.listed() == Listed.GONE) {
                     continue;
                 }
-                h = new Host(e, settings, fleets.computeIfAbsent(e.kind(), 
+                h = new Host(e, settings, fleets.computeIfAbsent(e.kind(),
                         kind -> new Fleet(settings.fronts())));
                 hosts.put(e.id(), h);
                 h.probeAt = probes.first(now, hosts.size());
--- a/src/main/java/cairnline/control/Placement.java
+++ b/src/main/java/cairnline/control/Placement.java
@@ -1,5 +1,7 @@
 package cairnline.control;
 
+import java.util.List;
+
 /**
  * In which order engines are looked at for a group of tables, by rendezvous hashing (highest random weight, Thaler and
  * Ravishankar 1998); pure functions.
@@ -34,6 +36,20 @@
         return rank(first, tables) < rank(second, tables);
     }
 
+    /** The index, from there on, of the engine that queries of this group look at first. */
+    static int first(List<? extends EngineState> engines, int from, int tables) {
+        int first = from;
+        long least = rank(engines.get(from).seed, tables);
+        for (int i = from + 1; i < engines.size(); i++) {
+            long rank = rank(engines.get(i).seed, tables);
+            if (rank < least) {
+                least = rank;
+                first = i;
+            }
+        }
+        return first;
+    }
+
     private static long mix(long value) {
         long x = (value ^ (value >>> 33)) * MIX_1;
         x = (x ^ (x >>> 33)) * MIX_2;
--- a/src/main/java/cairnline/control/ProbeBudget.java
+++ b/src/main/java/cairnline/control/ProbeBudget.java
@@ -7,14 +7,14 @@
  *
  * <p>Each front asking each engine every second is nothing for three fronts and six engines, but grows with fronts times
  * engines. So a front asks at most as often as its own requests pay for: then all fronts together do so too, however
- * many they are. Each pause is drawn anew: fronts that hear of the same idle engine at the same moment all send there.
+ * many they are. Outside of that stand engines that may be lost, and one probe in the longest pause. Each pause is drawn anew: fronts that hear of the same idle engine at the same moment all send there.
  */
 final class ProbeBudget {
     /** Part of the worth asked for that all probes together may cost, at the price told. */
     private static final double SPEND = 0.03;
     /** Shortest and longest pause for an engine that is there. */
     private static final long LEAST = 1_000_000_000L, MOST = 30_000_000_000L;
-    /** First pause for one that may not be there any more; it doubles up to the longest. */
+    /** First pause for one that may not be there any more, and how often it doubles. */
     private static final long LOST = 250_000_000L;
     private static final int DOUBLINGS = 4;
     /** Pauses are drawn between these parts of what is due. */
