Spread a schema's queries over drawn engines where managers are many; weigh rare reports by age

Cause: Control.next took Placement.first, the same engine at all managers, with SAMPLE_LEAST = 2 engines looked at; a manager hears of an engine every 20 s and can't see it fill. Now the earliest of four drawn where the sample is at its least (more than 16 managers); fewer managers act as before. Fleet.hear gave each report a twentieth, from nothing: at two a second ten seconds to believe in a full fleet. Now by its age, a fifth at most.

Ruled out: lost answers (the failing requests tell progress, at a stand), processor time (1.3 to 2 s of 20).

Tests: FleetTrustTest fails without the fix (0.55 and 1.55 threads a core for 2.4 and 3.0), aHundredFrontsSpreadAHotGroup too (all 100 queries on s-52).

--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -392,7 +392,8 @@
             int other = from + random.nextInt(ranked.size() - from);
             return Placement.before(ranked.get(drawn).seed, ranked.get(other).seed, q.tables) ? other : drawn;
         }
-        return Placement.first(ranked, from, q.tables);
+        return sample > SAMPLE_LEAST ? Placement.first(ranked, from, q.tables)
+                : Placement.drawn(ranked, from, q.tables, random);
     }
 
     /** The paper's prediction, for this query's size, at this engine's crowd. */
--- a/src/main/java/cairnline/control/Fleet.java
+++ b/src/main/java/cairnline/control/Fleet.java
@@ -9,8 +9,12 @@
  * the reports of engines say together.
  */
 final class Fleet {
-    /** Weight of a report in the means: some twenty reports, since one holds a handful of own threads at most. */
+    /** Least weight of a report in the means: some twenty reports, since one holds a handful of own threads at most. */
     private static final double GAIN = 0.05;
+    /** Time in which reports of others' threads come down to 1/e: engines fill and empty in seconds. */
+    private static final double OTHERS_LIFE = 3e9;
+    /** Most weight of one of them, after a silence: one engine must not speak for all. */
+    private static final double OTHERS_GAIN = 0.2;
     /** Reports that the expected share counts for at the start. */
     private static final double PRIOR = 1;
 
@@ -22,6 +26,7 @@
     private final double expected;
     private double ownReported, allReported, othersReported;
     private long heardAt;
+    private int heard;
     double meanThreads, meanAttempts;
     /** Out at the engines listed as ready, and their cores, as warm as they are. */
     private int threads, attempts;
@@ -49,7 +54,10 @@
     void hear(double own, double all, int itsCores, long now) {
         ownReported += GAIN * (own - ownReported);
         allReported += GAIN * (all - allReported);
-        othersReported += GAIN * ((all - own) / itsCores - othersReported);
+        // The fewer reports there are in a second, the more each says: twenty of them may be half a day's.
+        double fresh = heard == 0 ? 0 : Math.min(OTHERS_GAIN, 1 - StrictMath.exp((heardAt - now) / OTHERS_LIFE));
+        double gain = Math.max(Math.max(GAIN, fresh), 1.0 / (++heard + PRIOR));
+        othersReported += gain * ((all - own) / itsCores - othersReported);
         meanThreads += GAIN * (threads - meanThreads);
         meanAttempts += GAIN * (attempts - meanAttempts);
         heardAt = now;
--- a/src/main/java/cairnline/control/Placement.java
+++ b/src/main/java/cairnline/control/Placement.java
@@ -1,6 +1,7 @@
 package cairnline.control;
 
 import java.util.List;
+import java.util.SplittableRandom;
 
 /**
  * In which order engines are looked at for a group of tables, by rendezvous hashing (highest random weight, Thaler and
@@ -15,6 +16,9 @@
     /** Odd constants of the 64-bit finalizer of MurmurHash3. */
     private static final long MIX_1 = 0xff51afd7ed558ccdL, MIX_2 = 0xc4ceb9fe1a85ec53L;
 
+    /** Engines drawn where fronts are many: a group that is a quarter of all then loads none above 1.8 times the mean. */
+    private static final int DRAWS = 4;
+
     private Placement() { }
 
     /** An engine's own part of its rank: the same at all fronts, from nothing but its id. */
@@ -50,6 +54,21 @@
         return first;
     }
 
+    /**
+     * The index, from there on, of the first in the group's order among a few engines drawn. Fronts so many that each
+     * hears of an engine once in tens of seconds can't see that it is full: where all of them look at the same one
+     * first, the engine of a group that is much read gets all of that. Of N engines none gets more than DRAWS / N of a
+     * group so, and all groups together spread evenly.
+     */
+    static int drawn(List<? extends EngineState> engines, int from, int tables, SplittableRandom random) {
+        int first = from + random.nextInt(engines.size() - from);
+        for (int i = 1; i < DRAWS; i++) {
+            int other = from + random.nextInt(engines.size() - from);
+            first = before(engines.get(other).seed, engines.get(first).seed, tables) ? other : first;
+        }
+        return first;
+    }
+
     private static long mix(long value) {
         long x = (value ^ (value >>> 33)) * MIX_1;
         x = (x ^ (x >>> 33)) * MIX_2;
--- /dev/null
+++ b/src/test/java/cairnline/control/FleetTrustTest.java
@@ -0,0 +1,42 @@
+package cairnline.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/** What a front of a hundred believes of the others, from the few reports that it pays for. */
+class FleetTrustTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final double MARK = 2.2;
+    private static final int CORES = 16;
+
+    /** A fleet of a hundred fronts with 40 engines ready, this front having nothing out. */
+    private static Fleet ofHundred() {
+        Fleet fleet = new Fleet(100);
+        fleet.count(40 * CORES, 0, 0);
+        return fleet;
+    }
+
+    /** Two reports a second are all that a front pays for: the first ones count, and not twenty of them later. */
+    @Test
+    void aFewReportsOfFullEnginesSayThatTheFleetIsFull() {
+        Fleet fleet = ofHundred();
+        for (long half = 1; half <= 4; half++) {
+            fleet.hear(0, 48, CORES, half * SECOND / 2);
+        }
+        assertEquals(2.4, fleet.others(MARK, 2 * SECOND), 0.1);
+    }
+
+    /** Engines that filled up since: within seconds, not tens of seconds. */
+    @Test
+    void rareReportsFollowAFleetThatFillsUp() {
+        Fleet fleet = ofHundred();
+        for (long half = 1; half <= 20; half++) {
+            fleet.hear(0, 8, CORES, half * SECOND / 2);
+        }
+        for (long half = 21; half <= 32; half++) {
+            fleet.hear(0, 48, CORES, half * SECOND / 2);
+        }
+        assertEquals(3.0, fleet.others(MARK, 16 * SECOND), 0.5);
+    }
+}
--- a/src/test/java/cairnline/control/PlacementTest.java
+++ b/src/test/java/cairnline/control/PlacementTest.java
@@ -9,6 +9,7 @@
 import cairnline.control.ControlApi.Request;
 import cairnline.control.Script.Site;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -111,4 +112,22 @@
         }
         assertTrue(sent.size() >= 5, "engines used: " + sent);
     }
+
+    /** A hundred fronts, none of which hears enough to see it, once sent all queries of a hot group to one engine. */
+    @Test
+    void aHundredFrontsSpreadAHotGroup() {
+        Site site = new Site();
+        site.fronts = 100;
+        Map<String, Integer> sent = new HashMap<>();
+        for (int f = 0; f < site.fronts; f++) {
+            Script s = new Script(site, 100 * SECOND, 500 + f);
+            List<Engine> all = new ArrayList<>();
+            ids(ENGINES).forEach(id -> all.add(Script.engine(id, Listed.READY, "large", 0)));
+            s.control.engines(s.now, true, all);
+            s.control.request(s.now, new Request("q", "small", "one", false, 0, 3 * SECOND, 0, 0, 5, false));
+            sent.merge(s.engineOf("q"), 1, Integer::sum);
+        }
+        assertTrue(Collections.max(sent.values()) <= 25, "queries by engine: " + sent);
+        assertTrue(sent.size() >= 15, "engines used: " + sent.size());
+    }
 }
