--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -393,7 +393,7 @@
             return Placement.before(ranked.get(drawn).seed, ranked.get(other).seed, q.tables) ? other : drawn;
         }
         return sample > SAMPLE_LEAST ? Placement.first(ranked, from, q.tables)
-                : Placement.drawn(ranked, from, q.tables, random);
+                : Placement.drawn(ranked, from, drawn, q.tables, random);
     }
 
     /** The paper's prediction, for this query's size, at this engine's crowd. */
--- a/src/main/java/cairnline/control/Fleet.java
+++ b/src/main/java/cairnline/control/Fleet.java
@@ -54,7 +54,7 @@
     void hear(double own, double all, int itsCores, long now) {
         ownReported += GAIN * (own - ownReported);
         allReported += GAIN * (all - allReported);
-        // The fewer reports there are in a second, the more each says: twenty of them may be half a day's.
+        // The fewer reports there are in a second, the more each says: a front of a hundred waits ten seconds for twenty.
         double fresh = heard == 0 ? 0 : Math.min(OTHERS_GAIN, 1 - StrictMath.exp((heardAt - now) / OTHERS_LIFE));
         double gain = Math.max(Math.max(GAIN, fresh), 1.0 / (++heard + PRIOR));
         othersReported += gain * ((all - own) / itsCores - othersReported);
--- a/src/main/java/cairnline/control/Placement.java
+++ b/src/main/java/cairnline/control/Placement.java
@@ -55,13 +55,13 @@
     }
 
     /**
-     * The index, from there on, of the first in the group's order among a few engines drawn. Fronts so many that each
+     * The index, from there on, of the first in the group's order among a few engines drawn, one of them already. Fronts so many that each
      * hears of an engine once in tens of seconds can't see that it is full: where all of them look at the same one
      * first, the engine of a group that is much read gets all of that. Of N engines none gets more than DRAWS / N of a
      * group so, and all groups together spread evenly.
      */
-    static int drawn(List<? extends EngineState> engines, int from, int tables, SplittableRandom random) {
-        int first = from + random.nextInt(engines.size() - from);
+    static int drawn(List<? extends EngineState> engines, int from, int drawn, int tables, SplittableRandom random) {
+        int first = drawn;
         for (int i = 1; i < DRAWS; i++) {
             int other = from + random.nextInt(engines.size() - from);
             first = before(engines.get(other).seed, engines.get(first).seed, tables) ? other : first;
--- a/src/test/java/cairnline/control/PlacementTest.java
+++ b/src/test/java/cairnline/control/PlacementTest.java
@@ -60,15 +60,20 @@
         }
     }
 
+    /** A front that has all engines listed. */
+    private static Script front(Site site, int seed) {
+        Script s = new Script(site, 100 * SECOND, seed);
+        s.control.engines(s.now, true,
+                ids(ENGINES).stream().map(id -> Script.engine(id, Listed.READY, "large", 0)).toList());
+        return s;
+    }
+
     /** Engines that get a group's requests of this class from all fronts, each of which sends this many. */
     private static Set<String> used(Site site, String type, int each) {
         site.fronts = FRONTS;
         Set<String> used = new HashSet<>();
         for (int f = 0; f < FRONTS; f++) {
-            Script s = new Script(site, 100 * SECOND, 70 + f);
-            List<Engine> all = new ArrayList<>();
-            ids(ENGINES).forEach(id -> all.add(Script.engine(id, Listed.READY, "large", 0)));
-            s.control.engines(s.now, true, all);
+            Script s = front(site, 70 + f);
             for (int i = 0; i < each; i++) {
                 s.control.request(s.now, new Request("q" + i, type, "one", false, 0, 3 * SECOND, 0, 0, 5, false));
                 used.add(s.engineOf("q" + i));
@@ -99,10 +104,7 @@
     void aHotGroupSpillsToTheNextEngines() {
         Site site = new Site();
         site.fronts = FRONTS;
-        Script s = new Script(site, 100 * SECOND, 3);
-        List<Engine> all = new ArrayList<>();
-        ids(ENGINES).forEach(id -> all.add(Script.engine(id, Listed.READY, "large", 0)));
-        s.control.engines(s.now, true, all);
+        Script s = front(site, 3);
         Map<String, Integer> sent = new HashMap<>();
         for (int i = 0; i < 120; i++) {
             s.control.request(s.now, new Request("q" + i, "small", "one", false, 0, 3 * SECOND, 0, 0, 5, false));
@@ -120,10 +122,7 @@
         site.fronts = 100;
         Map<String, Integer> sent = new HashMap<>();
         for (int f = 0; f < site.fronts; f++) {
-            Script s = new Script(site, 100 * SECOND, 500 + f);
-            List<Engine> all = new ArrayList<>();
-            ids(ENGINES).forEach(id -> all.add(Script.engine(id, Listed.READY, "large", 0)));
-            s.control.engines(s.now, true, all);
+            Script s = front(site, 500 + f);
             s.control.request(s.now, new Request("q", "small", "one", false, 0, 3 * SECOND, 0, 0, 5, false));
             sent.merge(s.engineOf("q"), 1, Integer::sum);
         }
