Engine connections have a reading thread only while something is open on them

Counted: 51 to 54 threads for each of 94 managers at 37 engines (28 to 31 named "engine"), one for each engine ever probed or asked, since connections stay open for 20 s. 120 managers with 300 engines would have 36,000 readers: more than one machine gives.

Lines at fault: Peer.connect (Threads.start for each connection that comes up), Listener.accept (a session whose thread could not start stayed open and unread), Outbox.run (what came during its last look needed a further thread).

Now the reader ends when nothing is open on a connection and comes back with the next request, which first looks whether the connection has ended meanwhile: then nothing ran. 32 threads at 37 engines, growing with requests open, not with engines. All connections to engines share one budget from the descriptors told; the one idle for longest gives way (package pools). Probes of one manager stay under 50 a second.

--- a/src/main/java/cairnline/control/ProbeBudget.java
+++ b/src/main/java/cairnline/control/ProbeBudget.java
@@ -14,6 +14,8 @@
     private static final double SPEND = 0.03;
     /** Shortest and longest pause for an engine that is there. */
     private static final long LEAST = 1_000_000_000L, MOST = 30_000_000_000L;
+    /** Engines that one front asks in the shortest pause; more of them are asked less often each. */
+    private static final int ASKED_MOST = 50;
     /** First pause for one that may not be there any more, and how often it doubles. */
     private static final long LOST = 250_000_000L;
     private static final int DOUBLINGS = 4;
@@ -45,7 +47,8 @@
         }
         double span = Math.max(LEAST, Math.min(COUNTED, now - startedAt));
         double paid = perRequest * Math.max(1, requests.since(now - COUNTED)) / span;
-        return now + drawn((long) Math.max(LEAST, Math.min(MOST, engines / paid)));
+        double least = LEAST * Math.max(1, (double) engines / ASKED_MOST);
+        return now + drawn((long) Math.max(least, Math.min(MOST, engines / paid)));
     }
 
     /** A first time for an engine just listed: spread over what is usually the pause. */
--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -31,6 +31,8 @@
     /** Each client costs a thread or two, and with them memory. */
     private static final int CLIENTS_MOST = 400;
     private static final int CLIENTS_SPARE = 24;
+    /** Archives of the program and its runtime, standard streams, listener, feed; seen are 20 to 25. */
+    private static final int OWN_SOCKETS = 32;
     private static final long NANOS_PER_MICRO = 1_000;
     private static final long REST_SLACK_NANOS = 100_000_000;
 
@@ -245,6 +247,11 @@
         return Math.min(CLIENTS_MOST, sockets / 3 + CLIENTS_SPARE);
     }
 
+    /** The rest of the sockets, but for those of the program itself: its files, the feed, a client turned away. */
+    private static int engines(int sockets) {
+        return Math.max(SOCKETS_LEAST / 4, sockets - clients(sockets) - OWN_SOCKETS);
+    }
+
     /** Engines tell of each request in every period; where they don't, silence says nothing. */
     private static long silence(Fields fields) {
         long period = fields.whole("specifics.notePeriodNs", 0) / NANOS_PER_MICRO;
@@ -263,7 +270,7 @@
         return new Limits(4096, 256, 512 * 1024, 160 * 1024, clients(sockets), 32,
                 (int) Math.min(4096, fields.whole("permissions.maxOpen", 4096)), 8 << 20,
                 idleClose * 2 / 3, Clock.ofMillis(4_500), Clock.ofMillis(250), Clock.ofMillis(2_000), Clock.ofMillis(2_500),
-                Clock.ofMillis(500), 65_536, Clock.ofMillis(20_000), 262_144, 8_192, 6_000, 64, 48_000, 8,
+                Clock.ofMillis(500), 65_536, Clock.ofMillis(20_000), 262_144, 8_192, 6_000, 64, 48_000, 8, engines(sockets),
                 (int) fields.whole("permissions.streamsPerConn", 100), 4, silence(fields),
                 Clock.ofMillis(500), connect, Clock.ofMillis(1_000), Clock.ofMillis(200),
                 Clock.ofMillis(2_300), 4 << 20, Clock.ofMillis(50), drainGrace / 2, Clock.ofMillis(600),
--- a/src/main/java/cairnline/program/ManagerProcess.java
+++ b/src/main/java/cairnline/program/ManagerProcess.java
@@ -14,6 +14,7 @@
 /** A workload manager in a process of its own on a free loopback port; for trying, measuring and testing the whole. */
 final class ManagerProcess implements AutoCloseable {
     private static final long END_S = 40;
+    private static final int SOCKETS = 1_024;
     /** As deploy/balancer.toml has it, so that what is measured is what runs. */
     private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
             "-XX:-UsePerfData", "-Xshare:auto", "-Xss256k", "-Xms72m", "-Xmx72m", "-Xmn44m", "-XX:MaxMetaspaceSize=32m",
@@ -32,11 +33,17 @@
 
     /** The same with what its configuration knows of the feed. */
     ManagerProcess(Path folder, int self, int fronts, String feed, String settings, String known) throws IOException {
+        this(folder, self, fronts, feed, settings, known, SOCKETS);
+    }
+
+    /** The same that is told of a limit of so many descriptors. */
+    ManagerProcess(Path folder, int self, int fronts, String feed, String settings, String known, int sockets)
+            throws IOException {
         this.folder = Files.createDirectories(folder);
         port = freePort();
         config = Files.writeString(folder.resolve("config.json"), template().replace("@listen@", "127.0.0.1:" + port)
                 .replace("@feed@", feed).replace("@known@", known).replace("@fronts@", Integer.toString(fronts))
-                .replace("@self@", Integer.toString(self)));
+                .replace("@self@", Integer.toString(self)).replace("@sockets@", Integer.toString(sockets)));
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "cairnline.program.Main", "serve"));
--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -1,6 +1,7 @@
 package cairnline.program;
 
 import cairnline.logs.Events;
+import cairnline.pools.ConnectionBudget;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.EngineList;
@@ -8,6 +9,7 @@
 import cairnline.transport.HttpLink;
 import cairnline.transport.Listener;
 import cairnline.transport.ODataFront;
+import cairnline.transport.PooledLink;
 import java.io.IOException;
 
 /** The OData front with a core and engines of its own: engines that speak OData can't run what the platform sends. */
@@ -20,10 +22,12 @@
 
     ODataServer(Configuration configuration, ODataConfiguration odata, Clock clock, Events log) throws IOException {
         var limits = configuration.limits();
+        ConnectionBudget<PooledLink.Connection> connections =
+                new ConnectionBudget<>(limits.enginesConnections(), limits.idle());
         // OData has no words for a load or for notes: their absence must not count as silence.
         core = new Core(configuration.settings().withoutReports(), configuration.seed(), limits, clock,
                 line -> log.warn("module", line),
-                (engine, owner) -> new HttpLink(Server.reach(engine.address(), log), owner, limits, clock));
+                (engine, owner) -> new HttpLink(Server.reach(engine.address(), log), owner, limits, clock, connections));
         list = new EngineList(core, limits, clock);
         listener = new Listener(odata.listen(), limits.clients() / 2, limits, clock);
         front = new ODataFront(listener, core, odata.model(), configuration.patience(), limits, clock);
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -3,6 +3,7 @@
 import cairnline.logs.EventLog;
 import cairnline.logs.Events;
 import cairnline.membership.Keeper;
+import cairnline.pools.ConnectionBudget;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.EngineList;
@@ -14,6 +15,7 @@
 import cairnline.transport.ClientFront;
 import cairnline.transport.FeedClient;
 import cairnline.transport.Listener;
+import cairnline.transport.PooledLink;
 import cairnline.transport.RespLink;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -43,10 +45,12 @@
         log = new EventLog(settings.logFormat(), settings.logQueue());
         SnapshotFolder folder = settings.snapshots() == null ? null
                 : new SnapshotFolder(settings.snapshots(), settings.store(), log);
+        ConnectionBudget<PooledLink.Connection> connections =
+                new ConnectionBudget<>(limits.enginesConnections(), limits.idle());
         keeper = folder == null ? null : new SnapshotKeeper(folder, settings.store(), log, clock::micros);
         core = new Core(configuration.settings(), configuration.seed(), limits, clock,
                 line -> log.warn("module", line),
-                (engine, owner) -> new RespLink(engine.id(), reach(engine.address(), log), owner, limits, clock),
+                (engine, owner) -> new RespLink(engine.id(), reach(engine.address(), log), owner, limits, clock, connections),
                 settings.trust(), keeper == null ? Keeper.NONE : keeper);
         list = new EngineList(core, limits, clock);
         feed = new FeedClient(configuration.feed(), list, limits, clock, log);
@@ -77,6 +81,7 @@
 
     /** Serves until the process is told to end. */
     void run() throws InterruptedException {
+        Thread.setDefaultUncaughtExceptionHandler(new Faults(clock, System.err, Runtime.getRuntime()::halt));
         // A shutdown hook, since SIGTERM must end in exit code 0 with all that was taken answered.
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
         // Before anything is served: the JVM ends on SIGHUP where nobody handles it.
--- a/src/main/java/cairnline/routing/Limits.java
+++ b/src/main/java/cairnline/routing/Limits.java
@@ -25,6 +25,7 @@
  * @param pages most pages of a result
  * @param result largest result
  * @param engineConnections connections to one engine
+ * @param enginesConnections connections to all engines together
  * @param engineStreams open requests on one connection to an engine
  * @param streamsSpread from so many on another connection is opened: one that ends takes all that is open on it along
  * @param silence a connection with requests open that tells nothing for so long is closed
@@ -48,6 +49,6 @@
 public record Limits(int coreMailbox, int peerMailbox, int coreStack, int peerStack, int clients, int openPerClient,
                      int openRequests, long openBytes, long idle, long clientIdle, long evictable, long firstMessage,
                      long wholeMessage, long linger, int lingerBytes, long writeStall, int frame, int part, int page, int pages, int result,
-                     int engineConnections, int engineStreams, int streamsSpread, long silence, long partialAnswer, long connect, long feedConnect, long feedPause,
+                     int engineConnections, int enginesConnections, int engineStreams, int streamsSpread, long silence, long partialAnswer, long connect, long feedConnect, long feedPause,
                      long feedSilence, int feedLine, long answerMargin, long drainGrace, long stopTaking, long flush,
                      long retryAfter, int httpConnections, int httpHead, int httpBody, int httpPages, int batch) { }
--- /dev/null
+++ b/src/main/java/cairnline/routing/Vital.java
@@ -0,0 +1,29 @@
+package cairnline.routing;
+
+/**
+ * A thread without which the program serves nobody, though its process would live on: what ends the thread is to end the
+ * process. Whoever handles uncaught errors tells it from the end of any other thread by {@link Ended}.
+ */
+public final class Vital {
+    private Vital() { }
+
+    /** Such a thread has ended, for this reason. */
+    public static final class Ended extends Error {
+        private static final long serialVersionUID = 1L;
+
+        Ended(Throwable cause) {
+            super(cause);
+        }
+    }
+
+    /** The same task for such a thread. */
+    public static Runnable task(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException | Error e) {
+                throw new Ended(e);
+            }
+        };
+    }
+}
--- a/src/main/java/cairnline/transport/FeedClient.java
+++ b/src/main/java/cairnline/transport/FeedClient.java
@@ -39,7 +39,7 @@
 
     /** Starts to follow. */
     public void start() {
-        Threads.start("feed", limits.coreStack(), this::follow);
+        Threads.startVital("feed", limits.coreStack(), this::follow);
     }
 
     /** From now on the feed is at this address; its numbers go on. */
--- a/src/main/java/cairnline/transport/HttpConnection.java
+++ b/src/main/java/cairnline/transport/HttpConnection.java
@@ -54,7 +54,8 @@
         return over;
     }
 
-    synchronized boolean isFree() {
+    @Override
+    public synchronized boolean isIdle() {
         return !over && attempt == null;
     }
 
@@ -67,7 +68,7 @@
             attempt = next;
             written = false;
         }
-        if (peer.offer(now -> command(next, now))) {
+        if (peer.ask(this, now -> command(next, now))) {
             return true;
         }
         synchronized (this) {
--- a/src/main/java/cairnline/transport/HttpLink.java
+++ b/src/main/java/cairnline/transport/HttpLink.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.pools.ConnectionBudget;
 import cairnline.routing.Attempt;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
@@ -16,8 +17,9 @@
     private final Clock clock;
 
     /** A link without a connection. */
-    public HttpLink(InetSocketAddress address, Core core, Limits limits, Clock clock) {
-        super(limits.httpConnections());
+    public HttpLink(InetSocketAddress address, Core core, Limits limits, Clock clock,
+                    ConnectionBudget<Connection> budget) {
+        super(limits.httpConnections(), budget, clock);
         this.address = address;
         this.core = core;
         this.limits = limits;
@@ -26,7 +28,7 @@
 
     @Override
     public boolean send(Attempt attempt) {
-        HttpConnection connection = connection(HttpConnection::isFree, free -> 0, 1, () -> {
+        HttpConnection connection = connection(HttpConnection::isIdle, free -> 0, 1, () -> {
             // Connecting comes first: the request's letter must find the socket up.
             HttpConnection opened = new HttpConnection(this, address, core, limits, clock);
             opened.connect();
--- a/src/main/java/cairnline/transport/Listener.java
+++ b/src/main/java/cairnline/transport/Listener.java
@@ -73,28 +73,43 @@
     }
 
     void start(String name, Function<Socket, Session> open) {
-        Threads.start(name, limits.coreStack(), () -> accept(open));
+        Threads.startVital(name, limits.coreStack(), () -> accept(open));
     }
 
     private void accept(Function<Socket, Session> open) {
         while (!server.isClosed()) {
             try {
-                Socket socket = server.accept();
-                socket.setTcpNoDelay(true);
-                Session session = open.apply(socket);
-                if (sessions.size() >= most && !madeRoom()) {
-                    session.tooMany();
-                } else {
-                    sessions.add(session);
-                    session.start(() -> sessions.remove(session));
-                }
+                admit(server.accept(), open);
             } catch (IOException | OutOfMemoryError e) {
-                // Out of descriptors or threads, or a client that left at once: none of them may end the program.
+                // Out of descriptors or memory: neither may end the program.
                 Threads.pause(PAUSE);
             }
         }
     }
 
+    private void admit(Socket socket, Function<Socket, Session> open) {
+        try {
+            socket.setTcpNoDelay(true);
+        } catch (IOException e) {
+            // It has left at once.
+            Threads.close(socket);
+            return;
+        }
+        Session session = open.apply(socket);
+        if (sessions.size() >= most && !madeRoom()) {
+            session.tooMany();
+            return;
+        }
+        sessions.add(session);
+        try {
+            session.start(() -> sessions.remove(session));
+        } catch (OutOfMemoryError e) {
+            // There is no thread to be had for it: it must not wait for an answer that never comes.
+            sessions.remove(session);
+            session.tooMany();
+        }
+    }
+
     /** Ends the connection that is missed least: one that has asked nothing before others, then the longest idle. */
     private boolean madeRoom() {
         Session least = null;
--- a/src/main/java/cairnline/transport/Outbox.java
+++ b/src/main/java/cairnline/transport/Outbox.java
@@ -51,15 +51,14 @@
     }
 
     private void run() {
-        for (Runnable letter = letters.poll(); letter != null; letter = letters.poll()) {
-            if (!stopped) {
-                Actor.guarded(letter);
+        do {
+            for (Runnable letter = letters.poll(); letter != null; letter = letters.poll()) {
+                if (!stopped) {
+                    Actor.guarded(letter);
+                }
             }
-        }
-        busy.set(false);
-        // A letter may have come after the last look, from one who saw this as busy.
-        if (!letters.isEmpty()) {
-            wake();
-        }
+            busy.set(false);
+            // A letter may have come after the last look, from one who saw this as busy; another thread may not be had.
+        } while (!letters.isEmpty() && busy.compareAndSet(false, true));
     }
 }
--- a/src/main/java/cairnline/transport/Peer.java
+++ b/src/main/java/cairnline/transport/Peer.java
@@ -6,15 +6,19 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /**
  * One connection: a thread that reads it, and an outbox for what is written. Nobody but the threads of these two waits
- * for the peer.
+ * for the peer. Where nothing is to be read until something more has been asked, no thread waits at all: hundreds of
+ * programs with a connection to each of hundreds of engines would have more threads than a machine gives.
  */
 final class Peer {
     private static final int READ_SIZE = 8192;
+    /** What can have come on a connection on which nothing is open: a second copy, or an answer to what was given up. */
+    private static final int EARLY_SIZE = 2048;
 
     private final Socket socket;
     private final Limits limits;
@@ -26,6 +30,11 @@
     private volatile long lingerUntil = Long.MAX_VALUE;
     /** It will say its last as soon as that can leave; the handler is asked no more. */
     private volatile boolean finishing;
+    /** Whether a thread reads it. */
+    private boolean reading;
+    /** It has come up and was not read yet; the outbox's, as what came while nobody read. */
+    private boolean fresh;
+    private ByteBuffer early = ByteBuffer.allocate(0);
 
     /** What is done with a peer's bytes. */
     interface Handler {
@@ -38,6 +47,11 @@
         /** That time has come; the connection ends if this gives false. */
         boolean quiet(long now);
 
+        /** Whether nothing is to be read before more is asked; the reading thread then ends, until {@link #ask}. */
+        default boolean rests() {
+            return false;
+        }
+
         /** The connection did not come up, for this reason; its end is told next. */
         default void unreachable(IOException why) { }
 
@@ -60,6 +74,9 @@
 
     /** Serves a connection that is up. */
     void start(Handler handler) {
+        synchronized (this) {
+            reading = true;
+        }
         Threads.start(name, limits.peerStack(), () -> read(handler));
     }
 
@@ -69,7 +86,7 @@
             try {
                 socket.connect(address, (int) Clock.toMillis(limits.connect()));
                 socket.setTcpNoDelay(true);
-                Threads.start(name, limits.peerStack(), () -> read(handler));
+                fresh = true;
             } catch (IOException e) {
                 handler.unreachable(e);
                 handler.ended(false);
@@ -78,6 +95,63 @@
         });
     }
 
+    /**
+     * Leaves a letter that is to be answered: the connection is read again before it is written. False if the mailbox is
+     * full. What is asked must have been noted before, or the reader may find that it can rest.
+     */
+    boolean ask(Handler handler, Letter letter) {
+        return outbox.offer(() -> {
+            if (wake(handler)) {
+                long now = clock.micros();
+                write(letter.bytes(now), now);
+            } else {
+                end(handler);
+            }
+        });
+    }
+
+    /** Whether the connection is read from now on; not if it has ended, or there is no thread for it. */
+    private boolean wake(Handler handler) {
+        synchronized (this) {
+            if (reading) {
+                return true;
+            }
+            reading = true;
+        }
+        try {
+            boolean goesOn = fresh || lookedAt();
+            fresh = false;
+            if (goesOn) {
+                Threads.shared(limits.peerStack()).execute(() -> read(handler));
+            }
+            return goesOn;
+        } catch (IOException | OutOfMemoryError e) {
+            // It was reset, or there is no thread to be had.
+            return false;
+        }
+    }
+
+    /**
+     * Whether a connection that nobody read goes on; what has come is kept for its reader. Only now does its end tell
+     * that nothing ran: a request that is written on a connection that has ended may have run as far as anybody can tell.
+     */
+    private boolean lookedAt() throws IOException {
+        byte[] bytes = new byte[EARLY_SIZE];
+        int held = 0;
+        int count = 1;
+        while (count > 0 && held < bytes.length) {
+            count = receive(bytes, held, 1);
+            held += Math.max(0, count);
+        }
+        early = ByteBuffer.wrap(bytes, 0, held);
+        return count >= 0;
+    }
+
+    private synchronized boolean mayRest(Handler handler) {
+        reading = finishing || !handler.rests();
+        return !reading;
+    }
+
     /** Leaves a letter; false if the mailbox is full. */
     boolean offer(Letter letter) {
         return outbox.offer(() -> {
@@ -156,14 +230,21 @@
         try {
             long now = clock.micros();
             long lastRead = now;
+            if (early.hasRemaining()) {
+                handler.read(early.array(), early.limit(), now);
+                early = ByteBuffer.allocate(0);
+            }
             for (int count = 0; count >= 0 && dropped <= limits.lingerBytes(); now = clock.micros()) {
+                if (mayRest(handler)) {
+                    return;
+                }
                 if (now >= due(handler, lastRead)) {
                     if (isLost(now) || !finishing && !handler.quiet(now)) {
                         break;
                     }
                     lastRead = now;
                 }
-                count = receive(bytes, due(handler, lastRead) - now);
+                count = receive(bytes, 0, due(handler, lastRead) - now);
                 if (count > 0 && lingerUntil == Long.MAX_VALUE) {
                     lastRead = now;
                     handler.read(bytes, count, clock.micros());
@@ -174,14 +255,20 @@
             }
         } catch (IOException e) {
             // A reset ends the connection as an end of input does.
-        } finally {
-            byte[] last = handler.ended(true);
-            if (last != null) {
-                send(last);
-                flush(limits.flush());
-            }
-            close();
+        } catch (RuntimeException | Error e) {
+            end(handler);
+            throw e;
         }
+        end(handler);
+    }
+
+    private void end(Handler handler) {
+        byte[] last = handler.ended(true);
+        if (last != null) {
+            send(last);
+            flush(limits.flush());
+        }
+        close();
     }
 
     private long due(Handler handler, long lastRead) {
@@ -195,10 +282,10 @@
     }
 
     /** What has come, 0 bytes if nothing does in this time. */
-    private int receive(byte[] bytes, long most) throws IOException {
+    private int receive(byte[] bytes, int from, long most) throws IOException {
         try {
             socket.setSoTimeout((int) Math.max(1, Clock.toMillis(most)));
-            return socket.getInputStream().read(bytes);
+            return socket.getInputStream().read(bytes, from, bytes.length - from);
         } catch (SocketTimeoutException e) {
             return 0;
         }
--- a/src/main/java/cairnline/transport/PooledLink.java
+++ b/src/main/java/cairnline/transport/PooledLink.java
@@ -1,6 +1,9 @@
 package cairnline.transport;
 
+import cairnline.pools.ConnectionBudget;
+import cairnline.pools.ConnectionBudget.Pooled;
 import cairnline.routing.Attempt;
+import cairnline.routing.Clock;
 import cairnline.routing.EngineLink;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,24 +12,32 @@
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 
-/** What the links share: connections opened as needed, and the time after which nothing new may leave. */
-abstract class PooledLink<C extends PooledLink.Connection> implements EngineLink {
+/**
+ * What the links share: connections opened as needed, within what all links together may have, and the time after which
+ * nothing new may leave.
+ */
+public abstract class PooledLink<C extends PooledLink.Connection> implements EngineLink {
     private final int most;
+    private final ConnectionBudget<Connection> budget;
+    private final Clock clock;
     /** Only the core's thread touches these. */
     private final List<C> connections = new ArrayList<>();
     private volatile long lastSend = Long.MAX_VALUE;
 
     /** A connection of a link. */
-    interface Connection {
-        boolean isOver();
-
+    public interface Connection extends Pooled {
+        /** Ends the attempt if it is out here. */
         void giveUp(Attempt attempt);
 
+        /** Ends the connection, and with it what is out here. */
         void close();
     }
 
-    PooledLink(int most) {
+    /** A link of at most so many connections to its engine, and with all others as many as the budget has. */
+    PooledLink(int most, ConnectionBudget<Connection> budget, Clock clock) {
         this.most = most;
+        this.budget = budget;
+        this.clock = clock;
     }
 
     /**
@@ -34,14 +45,27 @@
      * be more; null if there is none.
      */
     final C connection(Predicate<C> willDo, ToIntFunction<C> load, int tooMuch, Supplier<C> open) {
+        long now = clock.micros();
+        budget.stale(now).forEach(Connection::close);
         connections.removeIf(Connection::isOver);
         C least = connections.stream().filter(willDo).min(Comparator.comparingInt(load)).orElse(null);
-        if (least != null && load.applyAsInt(least) < tooMuch || connections.size() >= most) {
-            return least;
+        boolean enough = least != null && load.applyAsInt(least) < tooMuch || connections.size() >= most;
+        C chosen = enough || !madeRoom() ? least : open.get();
+        if (chosen != null && chosen != least) {
+            connections.add(chosen);
+        }
+        if (chosen != null) {
+            budget.used(chosen, now);
+        }
+        return chosen;
+    }
+
+    private boolean madeRoom() {
+        Connection least = budget.hasRoom() ? null : budget.leastUseful();
+        if (least != null) {
+            least.close();
         }
-        C opened = open.get();
-        connections.add(opened);
-        return opened;
+        return budget.hasRoom();
     }
 
     final List<C> connections() {
@@ -64,6 +88,7 @@
 
     @Override
     public final void renew() {
+        connections.forEach(budget::ended);
         connections.forEach(Connection::close);
         connections.clear();
     }
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -91,6 +91,16 @@
         return over;
     }
 
+    @Override
+    public synchronized boolean isIdle() {
+        return !over && exchanges.isEmpty() && probes.isEmpty();
+    }
+
+    @Override
+    public synchronized boolean rests() {
+        return isIdle() && !answers.partial();
+    }
+
     /** What is asked while something else is open does not excuse that nothing is heard of that. */
     private synchronized void asked(long now) {
         if (exchanges.size() + probes.size() == 1) {
@@ -118,7 +128,7 @@
             }
             exchanges.put(id, exchange);
         }
-        if (!peer.offer(now -> command(exchange, now))) {
+        if (!peer.ask(this, now -> command(exchange, now))) {
             synchronized (this) {
                 // If the connection has ended in between, its end has told of this attempt.
                 return !exchanges.remove(id, exchange);
@@ -193,16 +203,24 @@
             tag = PROBE_TAG + probeCount++;
             probes.put(tag, answer);
         }
-        return peer.offer(now -> {
+        boolean left = peer.ask(this, now -> {
             asked(now);
             return Resp.words("top", tag);
         });
+        if (left) {
+            return true;
+        }
+        synchronized (this) {
+            // If the connection has ended in between, its end has told of this probe.
+            return probes.remove(tag) == null;
+        }
     }
 
     @Override
     public void close() {
         synchronized (this) {
             closedHere = true;
+            over = true;
         }
         peer.close();
     }
--- a/src/main/java/cairnline/transport/RespLink.java
+++ b/src/main/java/cairnline/transport/RespLink.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.pools.ConnectionBudget;
 import cairnline.routing.Attempt;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
@@ -17,8 +18,9 @@
     private final Clock clock;
 
     /** A link without a connection to the engine with this id. */
-    public RespLink(String engine, InetSocketAddress address, Core core, Limits limits, Clock clock) {
-        super(limits.engineConnections());
+    public RespLink(String engine, InetSocketAddress address, Core core, Limits limits, Clock clock,
+                    ConnectionBudget<Connection> budget) {
+        super(limits.engineConnections(), budget, clock);
         this.engine = engine;
         this.address = address;
         this.core = core;
--- a/src/main/java/cairnline/transport/Threads.java
+++ b/src/main/java/cairnline/transport/Threads.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.routing.Vital;
 import java.io.Closeable;
 import java.io.IOException;
 import java.util.Map;
@@ -22,6 +23,11 @@
         thread.start();
     }
 
+    /** The same for a thread without which the program serves nobody. */
+    static void startVital(String name, int stackBytes, Runnable task) {
+        start(name, stackBytes, Vital.task(task));
+    }
+
     /** Threads that are kept for a little while and used again. */
     static Executor shared(int stackBytes) {
         return SHARED.computeIfAbsent(stackBytes, size -> new ThreadPoolExecutor(0, Integer.MAX_VALUE, KEPT_S,
--- a/src/test/java/cairnline/LayersTest.java
+++ b/src/test/java/cairnline/LayersTest.java
@@ -22,14 +22,15 @@
             Map.entry("control", Set.of()),
             Map.entry("protocol", Set.of()),
             Map.entry("logs", Set.of()),
+            Map.entry("pools", Set.of()),
             Map.entry("settings", Set.of()),
             Map.entry("membership", Set.of("control")),
             Map.entry("store", Set.of("control", "logs", "membership")),
             Map.entry("routing", Set.of("control", "membership")),
-            Map.entry("transport", Set.of("control", "logs", "membership", "protocol", "routing")),
+            Map.entry("transport", Set.of("control", "logs", "membership", "pools", "protocol", "routing")),
             Map.entry("simhost", Set.of("control")),
             Map.entry("standin", Set.of("protocol")),
-            Map.entry("program", Set.of("control", "logs", "membership", "protocol", "routing", "settings", "simhost", "standin",
+            Map.entry("program", Set.of("control", "logs", "membership", "pools", "protocol", "routing", "settings", "simhost", "standin",
                     "store", "transport")));
 
     @Test
--- a/src/test/java/cairnline/program/ConfigurationTest.java
+++ b/src/test/java/cairnline/program/ConfigurationTest.java
@@ -30,9 +30,9 @@
     @Test
     void settingsAreReadAsTheSimulatorTellsThem() {
         Configuration configuration = read(text());
-        assertEquals(List.of("lookup", "report", "load"),
+        assertEquals(List.of("lookup", "report", "load", "once"),
                 configuration.settings().types().stream().map(type -> type.name()).toList());
-        assertEquals(List.of(1, 4, 2), configuration.settings().types().stream().map(type -> type.threads()).toList());
+        assertEquals(List.of(1, 4, 2, 1), configuration.settings().types().stream().map(type -> type.threads()).toList());
         assertTrue(configuration.settings().types().get(0).waitsForHolder());
         assertEquals(16, configuration.settings().kinds().get("std16").cores());
         assertEquals(250_000, configuration.limits().connect());
--- a/src/test/java/cairnline/program/ODataWire.java
+++ b/src/test/java/cairnline/program/ODataWire.java
@@ -3,6 +3,7 @@
 import cairnline.protocol.HttpDecoder;
 import cairnline.protocol.HttpMessage;
 import cairnline.protocol.ODataModel;
+import cairnline.pools.ConnectionBudget;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.EngineLink;
@@ -10,6 +11,7 @@
 import cairnline.transport.HttpLink;
 import cairnline.transport.Listener;
 import cairnline.transport.ODataFront;
+import cairnline.transport.PooledLink;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -21,6 +23,7 @@
 final class ODataWire implements Wire {
     static final ODataModel MODEL = new ODataModel(Map.of("Books",
             new ODataModel.EntitySet("Books", "lookup", "report", "load", "ID", "Edm.Int64", 17)));
+    private final ConnectionBudget<PooledLink.Connection> connections = new ConnectionBudget<>(1_024, 20_000_000);
     private static final String JSON = "application/json";
     private final int mostClients;
     private ODataFront front;
@@ -36,7 +39,8 @@
 
     @Override
     public EngineLink link(ListedEngine engine, Core core, Configuration configuration, Clock clock) {
-        return new HttpLink(Configuration.address("dial", engine.address()), core, configuration.limits(), clock);
+        return new HttpLink(Configuration.address("dial", engine.address()), core, configuration.limits(), clock,
+                connections);
     }
 
     @Override
--- a/src/test/java/cairnline/program/PlatformWire.java
+++ b/src/test/java/cairnline/program/PlatformWire.java
@@ -2,12 +2,14 @@
 
 import cairnline.protocol.ClientFrames;
 import cairnline.protocol.Resp;
+import cairnline.pools.ConnectionBudget;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.EngineLink;
 import cairnline.membership.ListedEngine;
 import cairnline.transport.ClientFront;
 import cairnline.transport.Listener;
+import cairnline.transport.PooledLink;
 import cairnline.transport.RespLink;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -21,6 +23,7 @@
 /** The platform's protocol: frames to clients, RESP to engines. */
 final class PlatformWire implements Wire {
     private final Map<Long, String> streams = new HashMap<>();
+    private final ConnectionBudget<PooledLink.Connection> connections = new ConnectionBudget<>(1_024, 20_000_000);
     private long lastStream;
     private final int mostClients;
     private ClientFront front;
@@ -36,7 +39,8 @@
 
     @Override
     public EngineLink link(ListedEngine engine, Core core, Configuration configuration, Clock clock) {
-        return new RespLink(engine.id(), Configuration.address("dial", engine.address()), core, configuration.limits(), clock);
+        return new RespLink(engine.id(), Configuration.address("dial", engine.address()), core, configuration.limits(), clock,
+                connections);
     }
 
     @Override
--- a/src/test/java/cairnline/program/PlatformWireTest.java
+++ b/src/test/java/cairnline/program/PlatformWireTest.java
@@ -72,6 +72,23 @@
                 client a expect r1 refused""");
     }
 
+    @Test
+    void aConnectionThatEndedWhileNothingWasOpenTakesNoRequestAlong() throws Exception {
+        // Of one that is written there nobody could tell that it did not run.
+        play("""
+                list e1 ready
+                engine mute
+                client a send once r1
+                engine expect r1
+                engine send r1 ok one
+                client a expect r1 served one
+                engine close r1
+                client a send once r2
+                engine expect r2
+                engine send r2 ok two
+                client a expect r2 served two""");
+    }
+
     @Test
     void aLostPageIsAnErrorThatMayHaveRun() throws Exception {
         play("""
--- a/src/test/java/cairnline/transport/ListenerTest.java
+++ b/src/test/java/cairnline/transport/ListenerTest.java
@@ -22,7 +22,7 @@
 
     private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
 
-    private final class Stub implements Listener.Session {
+    private class Stub implements Listener.Session {
         private final String name;
         private final long idleSince;
         private final boolean asked;
@@ -110,6 +110,18 @@
                 new Stub("idle", LONG_AGO, true), new Stub("new", BUSY, false)));
     }
 
+    @Test
+    void oneForWhichThereIsNoThreadIsTurnedAway() throws Exception {
+        // It stayed open and unread: its requests were never answered.
+        Stub unlucky = new Stub("unlucky", BUSY, false) {
+            @Override
+            public void start(Runnable ended) {
+                throw new OutOfMemoryError("unable to create native thread");
+            }
+        };
+        assertEquals(List.of("unlucky is turned away"), last(new Stub("busy", BUSY, true), unlucky, unlucky));
+    }
+
     @Test
     void noneGoesThatWaitsOrHasJustCome() throws Exception {
         // One that has just come may have a request on its way.
