Scenario waits until nobody reads before an engine ends an idle connection

The scenario failed once in the whole suite: the engine ended the connection before its reader had come to rest, so that the request was written beside the reader's look.

--- a/src/test/java/cairnline/program/ReadersTest.java
+++ b/src/test/java/cairnline/program/ReadersTest.java
@@ -18,7 +18,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -58,10 +57,10 @@
             }
             assertEquals(ENGINES, connections.size());
             long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_S);
-            while (readers() > 0 && System.nanoTime() < end) {
+            while (Scenario.readers() > 0 && System.nanoTime() < end) {
                 Thread.onSpinWait();
             }
-            assertEquals(0, readers(), "threads that read connections on which nothing is open");
+            assertEquals(0, Scenario.readers(), "threads that read connections on which nothing is open");
             // They are as good as before: no further one is opened.
             for (int i = 0; i < ENGINES; i++) {
                 links.get(i).probe(reports::add);
@@ -87,9 +86,4 @@
         socket.getOutputStream().write(Resp.words(new String(parts.get(1), StandardCharsets.UTF_8), "READY",
                 "report=inflight:0;util:0.0", ""));
     }
-
-    private static long readers() {
-        return Thread.getAllStackTraces().values().stream().filter(stack -> Arrays.stream(stack).anyMatch(
-                frame -> frame.getClassName().endsWith("transport.Peer") && frame.getMethodName().equals("read"))).count();
-    }
 }
