Start from what the known changes leave; a log line for each step of each request

A start hung for good: Server left each change of 'known' as a letter for the list's actor, which did not run yet and holds 256 letters (EngineList, Limits.peerMailbox). With 257 changes or more Actor.put waited for room that never came: no port was served, no line was logged. The changes are now folded into one whole list before it is left (FeedEvent.standing), in one pass.

No cap under 1,024 any more: waiting connections 512, clients 400, engines offered before first probes stop 256. A whole list is compared by a set, not engine by engine.

--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -823,7 +823,7 @@
             h.startedAt = h.coldSince = Math.min(h.coldSince, e.startedAt());
         }
         hosts.values().removeIf(h -> h.listed == Listed.GONE && h.attempts == 0);
-        ranked.retainAll(hosts.values());
+        ranked.removeIf(h -> hosts.get(h.id) != h);
         count();
         release();
     }
--- a/src/main/java/cairnline/membership/TrustSettings.java
+++ b/src/main/java/cairnline/membership/TrustSettings.java
@@ -31,6 +31,6 @@
 
     /** What holds where nothing is set, for engines that are warm within this time. */
     public static TrustSettings usual(long warmWithin) {
-        return new TrustSettings(6 * HOUR, 0.95, warmWithin, 400 * MILLI, 100 * MILLI, 5 * SECOND, 64, 256, SECOND);
+        return new TrustSettings(6 * HOUR, 0.95, warmWithin, 400 * MILLI, 100 * MILLI, 5 * SECOND, 64, 1_024, SECOND);
     }
 }
--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -29,7 +29,7 @@
     private static final int SOCKETS_DEFAULT = 1024;
     private static final int SOCKETS_LEAST = 64;
     /** Each client costs a thread or two, and with them memory. */
-    private static final int CLIENTS_MOST = 400;
+    private static final int CLIENTS_MOST = 1_024;
     private static final int CLIENTS_SPARE = 24;
     /** Archives of the program and its runtime, standard streams, listener, feed; seen are 20 to 25. */
     private static final int OWN_SOCKETS = 32;
--- a/src/main/java/cairnline/program/ServeSettings.java
+++ b/src/main/java/cairnline/program/ServeSettings.java
@@ -15,10 +15,11 @@
  * @param file the file; null where none is given
  * @param odataAsked whether the file was given as the OData front's own, which must then name entity sets
  * @param odata the OData front; null if it is off
+ * @param logRequests whether each step of each request is logged
  * @param snapshots the folder of the kept list; null if none is kept
  */
 record ServeSettings(Path file, boolean odataAsked, ODataConfiguration odata, Path snapshots, StoreSettings store,
-                     TrustSettings trust, EventLog.Format logFormat, int logQueue) {
+                     TrustSettings trust, EventLog.Format logFormat, int logQueue, boolean logRequests) {
     private static final long NANOS_PER_MICRO = 1_000;
 
     /** Reads the file, if there is one; throws with all its faults. */
@@ -27,14 +28,14 @@
         long warmWithin = configuration.settings().rules().warmWithin() / NANOS_PER_MICRO;
         if (in == null) {
             return new ServeSettings(null, false, null, null, StoreSettings.usual(), TrustSettings.usual(warmWithin),
-                    EventLog.Format.TEXT, LOG_QUEUE);
+                    EventLog.Format.TEXT, LOG_QUEUE, false);
         }
         ODataConfiguration odata = odataAsked || in.has("sets")
                 ? ODataConfiguration.of(in.asJson(), configuration.settings()) : null;
         return new ServeSettings(file, odataAsked, odata,
                 in.has("discovery.snapshot.dir") ? Path.of(in.text("discovery.snapshot.dir")) : null, store(in),
                 trust(in, warmWithin), EventLog.Format.valueOf(in.text("log.format").toUpperCase(Locale.ROOT)),
-                in.whole("log.queue"));
+                in.whole("log.queue"), in.text("log.level").equals("requests"));
     }
 
     private static final int LOG_QUEUE = 1_024;
@@ -70,6 +71,7 @@
     /** Whether another reading differs in what can't change while the program runs. */
     boolean needsRestart(ServeSettings other) {
         return !Objects.equals(snapshots, other.snapshots) || !store.equals(other.store) || !trust.equals(other.trust)
-                || logFormat != other.logFormat || logQueue != other.logQueue || (odata == null) != (other.odata == null);
+                || logFormat != other.logFormat || logQueue != other.logQueue || logRequests != other.logRequests
+                || (odata == null) != (other.odata == null);
     }
 }
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -4,10 +4,13 @@
 import cairnline.logs.Events;
 import cairnline.membership.Keeper;
 import cairnline.pools.ConnectionBudget;
+import cairnline.protocol.FeedEvent;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.EngineList;
 import cairnline.routing.Limits;
+import cairnline.routing.Request;
+import cairnline.routing.RequestTrace;
 import cairnline.settings.SettingsException;
 import cairnline.store.Snapshot;
 import cairnline.store.SnapshotFolder;
@@ -51,7 +54,7 @@
         core = new Core(configuration.settings(), configuration.seed(), limits, clock,
                 line -> log.warn("module", line),
                 (engine, owner) -> new RespLink(engine.id(), reach(engine.address(), log), owner, limits, clock, connections),
-                settings.trust(), keeper == null ? Keeper.NONE : keeper);
+                settings.trust(), keeper == null ? Keeper.NONE : keeper, settings.logRequests() ? this::trace : RequestTrace.OFF);
         list = new EngineList(core, limits, clock);
         feed = new FeedClient(configuration.feed(), list, limits, clock, log);
         clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits, clock), core,
@@ -59,8 +62,9 @@
         if (folder != null) {
             remember(folder);
         }
-        tell(configuration);
-        list.changed(configuration.knownLast(), false, null);
+        // As one event: its actor does not run yet, and its mailbox holds fewer than a long day has.
+        list.changed(configuration.knownLast(), true, configuration.known().stream().allMatch(e -> e.hosts() == null) ? null
+                : FeedClient.entries(FeedEvent.standing(configuration.knownLast(), configuration.known())));
         odata = settings.odata() == null ? null
                 : new ODataServer(configuration, settings.odata(), clock, log);
     }
@@ -99,6 +103,10 @@
         stopped.await();
     }
 
+    private void trace(String step, Request request, String engine, long at, String reason) {
+        log.info("request." + step, reason, "id", request.id(), "engine", engine, "us", at);
+    }
+
     private void tell(Configuration configuration) {
         configuration.known().forEach(event ->
                 list.changed(event.number(), event.whole(), FeedClient.entries(event)));
--- a/src/main/java/cairnline/protocol/FeedEvent.java
+++ b/src/main/java/cairnline/protocol/FeedEvent.java
@@ -1,6 +1,7 @@
 package cairnline.protocol;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -35,6 +36,24 @@
         return new FeedEvent(number, Boolean.TRUE.equals(change.get("whole")), hosts);
     }
 
+    /** What the list is after these events, as one that tells all of it; engines that have ended are not in it. */
+    public static FeedEvent standing(long number, List<FeedEvent> events) {
+        Map<String, Host> standing = new LinkedHashMap<>();
+        for (FeedEvent event : events) {
+            if (event.hosts != null && event.whole) {
+                standing.clear();
+            }
+            for (Host host : event.hosts == null ? List.<Host>of() : event.hosts) {
+                if (host.state == State.TERMINATED) {
+                    standing.remove(host.id);
+                } else {
+                    standing.put(host.id, host);
+                }
+            }
+        }
+        return new FeedEvent(number, true, List.copyOf(standing.values()));
+    }
+
     private static Host host(Map<String, Object> host) {
         return new Host(Json.text(host, "host"), Json.text(host, "dial"), (String) host.getOrDefault("site", ""),
                 (String) host.getOrDefault("class", ""), (int) Json.number(host, "block", 0),
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -20,9 +20,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.BiFunction;
 
@@ -50,6 +52,7 @@
     private final Map<String, Engine> engines = new HashMap<>();
     private final Membership membership;
     private final Keeper keeper;
+    private final RequestTrace trace;
     private long lookAt = Long.MAX_VALUE;
     private ControlApi control;
     private long now;
@@ -63,12 +66,14 @@
     public Core(Settings settings, long seed, Limits limits, Clock clock, Consumer<String> log,
                 BiFunction<ListedEngine, Core, EngineLink> links) {
         this(settings, seed, limits, clock, log, links,
-                TrustSettings.usual(Clock.fromModule(settings.rules().warmWithin())), Keeper.NONE);
+                TrustSettings.usual(Clock.fromModule(settings.rules().warmWithin())), Keeper.NONE, RequestTrace.OFF);
     }
 
     /** A core that does not run yet; {@code links} opens the way to an engine, {@code keeper} is shown the list. */
     public Core(Settings settings, long seed, Limits limits, Clock clock, Consumer<String> log,
-                BiFunction<ListedEngine, Core, EngineLink> links, TrustSettings trust, Keeper keeper) {
+                BiFunction<ListedEngine, Core, EngineLink> links, TrustSettings trust, Keeper keeper,
+                RequestTrace trace) {
+        this.trace = trace;
         this.membership = new Membership(trust);
         this.keeper = keeper;
         this.settings = settings;
@@ -235,8 +240,10 @@
                 : open.size() >= limits.openRequests() ? "too many open requests" : null;
         long comeBack = membership.comeBack(now);
         if (refusal != null || comeBack > 0) {
-            r.front().answer(r, refusal != null ? Answer.refused(refusal, limits.retryAfter())
-                    : Answer.refused(NO_ENGINE, comeBack));
+            Answer answer = refusal != null ? Answer.refused(refusal, limits.retryAfter())
+                    : Answer.refused(NO_ENGINE, comeBack);
+            trace.step("answered", r, "", now, answer.kind() + " " + answer.reason());
+            r.front().answer(r, answer);
             return;
         }
         OpenRequest namesake = byClientId.get(r.id());
@@ -249,6 +256,7 @@
         open.put(o.id, o);
         byRequest.put(r, o);
         byClientId.put(r.id(), o);
+        trace.step("taken", r, "", now, r.type());
         timers.at(deadline + limits.answerMargin() / 2, () -> overdue(o));
         boolean ordered = r.order() != null;
         tell(() -> control.request(moduleNow(), new ControlApi.Request(o.id, r.type(), "", ordered,
@@ -275,6 +283,7 @@
     private void answer(OpenRequest o, Answer answer) {
         if (!o.answered) {
             close(o);
+            trace.step("answered", o.request, "", now, answer.kind() + " " + answer.reason());
             o.request.front().answer(o.request, answer);
         }
     }
@@ -304,6 +313,7 @@
         OpenRequest o = ended.owner;
         o.out.remove(a);
         a.unwanted();
+        trace.step("ended", o.request, a.engine(), now, a.number() + " " + result.end());
         if (ended.engine != null) {
             ended.engine.attemptsOut--;
             closeIfGone(ended.engine);
@@ -348,6 +358,7 @@
             engine.attemptsOut++;
         }
         out.put(a, new Out(o, engine));
+        trace.step("sent", o.request, engineId, now, Integer.toString(a.number()));
         if (o.answered || engine == null || endsAt <= now) {
             timers.at(now, () -> end(a, Attempt.Result.of(End.NOT_SENT)));
         } else if (engine.link.send(a)) {
@@ -446,7 +457,8 @@
     private void list(boolean whole, List<ListedEngine> told) {
         List<ListedEngine> entries = membership.told(now, whole, told);
         if (whole) {
-            List<String> named = entries.stream().map(ListedEngine::id).toList();
+            Set<String> named = new HashSet<>();
+            entries.forEach(entry -> named.add(entry.id()));
             for (Engine engine : List.copyOf(engines.values())) {
                 if (!named.contains(engine.listed.id())) {
                     become(engine, engine.listed.as(Listed.GONE));
--- a/src/main/java/cairnline/transport/Listener.java
+++ b/src/main/java/cairnline/transport/Listener.java
@@ -12,7 +12,7 @@
 
 /** Accepts connections at one address, up to a cap, and keeps those that are open. */
 public final class Listener {
-    private static final int BACKLOG = 512;
+    private static final int BACKLOG = 1_024;
     private static final long PAUSE = 10_000;
 
     private final ServerSocket server;
--- a/src/main/resources/cairnline/settings/schema.cue
+++ b/src/main/resources/cairnline/settings/schema.cue
@@ -61,7 +61,7 @@
 		// Probes that may be out at once.
 		probesAtOnce: *64 | int & >=1 & <=1024
 		// Engines offered from which on no further entry is probed for the first time.
-		enough: *256 | int & >=1 & <=100000
+		enough: *1024 | int & >=1 & <=100000
 		// When to come back if nothing can be offered and no probe is due.
 		advice: *1s | duration & >=100ms & <=1h
 	}
@@ -69,6 +69,8 @@
 
 #Log: {
 	format: *"text" | "json"
+	// "requests" adds a line for each step of each request.
+	level: *"events" | "requests"
 	// Events that wait to be written; what comes when they are so many is dropped and counted.
 	queue: *1024 | int & >=16 & <=65536
 }
--- a/src/test/java/cairnline/program/FleetSizeTest.java
+++ b/src/test/java/cairnline/program/FleetSizeTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.StringJoiner;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -70,6 +71,32 @@
         }
     }
 
+    @Test
+    void aStartAfterTwoThousandChangesOfTheList() throws Exception {
+        // The changes that its configuration knows were left one by one for an actor that did not run yet: over 256 of
+        // them it never started.
+        try (StandInFleet fleet = new StandInFleet(2); StandInFeed feed = new StandInFeed()) {
+            StringJoiner events = new StringJoiner(",");
+            for (int n = 1; n <= 2_000; n++) {
+                String health = n % 2 == 0 ? "terminated" : "in_service";
+                String host = new StandInFeed.Host("s-" + (n - 1) / 2, fleet.address(0), health, 0).json();
+                events.add("{\"n\":" + n + ",\"members\":{\"seq\":" + n + ",\"whole\":false,\"hosts\":[" + host + "]}}");
+            }
+            events.add("{\"n\":2001,\"members\":{\"seq\":2001,\"whole\":false,\"hosts\":["
+                    + new StandInFeed.Host("s-last", fleet.address(1), "in_service", 0).json() + "]}}");
+            try (ManagerProcess manager = new ManagerProcess(folder, 0, 120, feed.address(), null,
+                    "{\"n\": 2001, \"events\": [" + events + "]}", SOCKETS)) {
+                manager.start();
+                Ready.await(manager.port(), LIMIT_S);
+                try (ToyClient client = new ToyClient(manager.port(), answers::add)) {
+                    serve(client, BATCH);
+                }
+                assertEquals(1, fleet.asked(), "only the engine that is left was asked");
+                assertEquals(0, manager.end(), manager.logged());
+            }
+        }
+    }
+
     private static List<StandInFeed.Host> hosts(StandInFleet fleet, int from, int to, String health) {
         List<StandInFeed.Host> hosts = new ArrayList<>();
         for (int i = from; i < to; i++) {
