Not ready before the control feed has been asked for what came during the start

Server started the clients' front before the feed, and Core.ready was given with the first list: an engine that began to drain during the start could get requests over 1 s after it was told. Now ready waits for the feed's first words, 250 ms at most once it is reached, and not at all where it can't be reached.

This is a cause read in the code and the protocol.

--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -273,7 +273,7 @@
                 Clock.ofMillis(500), 65_536, Clock.ofMillis(20_000), 262_144, 8_192, 6_000, 64, 48_000, 8, engines(sockets),
                 (int) fields.whole("permissions.streamsPerConn", 100), 4, silence(fields),
                 Clock.ofMillis(500), connect, Clock.ofMillis(1_000), Clock.ofMillis(200),
-                Clock.ofMillis(2_300), 4 << 20, Clock.ofMillis(50), drainGrace / 2, Clock.ofMillis(600),
+                Clock.ofMillis(2_300), Clock.ofMillis(250), 4 << 20, Clock.ofMillis(50), drainGrace / 2, Clock.ofMillis(600),
                 Clock.ofMillis(1_000), Clock.ofMillis(1_000), 24, 16_384, 1 << 20, 64, 100);
     }
 }
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -55,6 +55,8 @@
                 line -> log.warn("module", line),
                 (engine, owner) -> new RespLink(engine.id(), reach(engine.address(), log), owner, limits, clock, connections),
                 settings.trust(), keeper == null ? Keeper.NONE : keeper, settings.logRequests() ? this::trace : RequestTrace.OFF);
+        // What the configuration knows is as old as the start takes: an engine may have begun to drain since.
+        core.awaitFeed();
         list = new EngineList(core, limits, clock);
         feed = new FeedClient(configuration.feed(), list, limits, clock, log);
         clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits, clock), core,
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -60,6 +60,9 @@
     private boolean stopping;
     private boolean closed;
     private Runnable whenDone;
+    /** Whether there is a list, and whether all was done to have the latest. */
+    private boolean offered;
+    private boolean asked = true;
     private volatile boolean ready;
 
     /** A core that keeps no list for its next start. */
@@ -129,6 +132,19 @@
         return ready;
     }
 
+    /** Before the start: not ready until {@link #feedAsked}, even with a list. */
+    public void awaitFeed() {
+        asked = false;
+    }
+
+    /** What the control feed had to tell has been told, or it can't be asked now. */
+    public void feedAsked() {
+        actor.put(() -> {
+            asked = true;
+            ready = offered && !stopping;
+        });
+    }
+
     /** Takes a request; its front gets one answer unless it abandons it. */
     public void take(Request request) {
         actor.put(() -> taken(request));
@@ -485,7 +501,8 @@
     private void offer(boolean whole, List<ListedEngine> entries) {
         tell(() -> control.engines(moduleNow(), whole,
                 entries.stream().map(membership::offer).map(Clock::toModule).toList()));
-        ready = !stopping;
+        offered = true;
+        ready = asked && !stopping;
     }
 
     private void seen(String engineId, Evidence evidence) {
--- a/src/main/java/cairnline/routing/EngineList.java
+++ b/src/main/java/cairnline/routing/EngineList.java
@@ -38,6 +38,11 @@
         });
     }
 
+    /** The feed has been asked, and what came of it at once has been left here before; or it can't be asked now. */
+    public void asked() {
+        actor.put(core::feedAsked);
+    }
+
     @Override
     public void begin(long now) { }
 
--- a/src/main/java/cairnline/routing/Limits.java
+++ b/src/main/java/cairnline/routing/Limits.java
@@ -34,6 +34,7 @@
  * @param feedConnect a control feed that is not up by then is tried again
  * @param feedPause between attempts to reach the control feed
  * @param feedSilence after this a silent control feed is left and reached anew
+ * @param feedFirst so long a control feed just asked may take to tell what it has
  * @param feedLine longest line of the control feed
  * @param answerMargin answers go out so long before the client gives up
  * @param drainGrace nothing leaves for an engine so long after it was told to drain
@@ -50,5 +51,5 @@
                      int openRequests, long openBytes, long idle, long clientIdle, long evictable, long firstMessage,
                      long wholeMessage, long linger, int lingerBytes, long writeStall, int frame, int part, int page, int pages, int result,
                      int engineConnections, int enginesConnections, int engineStreams, int streamsSpread, long silence, long partialAnswer, long connect, long feedConnect, long feedPause,
-                     long feedSilence, int feedLine, long answerMargin, long drainGrace, long stopTaking, long flush,
+                     long feedSilence, long feedFirst, int feedLine, long answerMargin, long drainGrace, long stopTaking, long flush,
                      long retryAfter, int httpConnections, int httpHead, int httpBody, int httpPages, int batch) { }
--- a/src/main/java/cairnline/transport/FeedClient.java
+++ b/src/main/java/cairnline/transport/FeedClient.java
@@ -25,6 +25,7 @@
     private final Clock clock;
     private final Events log;
     private InetSocketAddress address;
+    private boolean asked;
     /** The connection to that address; closing it wakes the thread that follows. */
     private Socket socket = new Socket();
 
@@ -67,10 +68,19 @@
                     log.warn("feed.lost", "control feed lost: " + e.getMessage(), "address", at);
                 }
             }
+            asked();
             lost = true;
         } while (pause(at));
     }
 
+    /** Tells once that the feed was asked for the first time. */
+    private void asked() {
+        if (!asked) {
+            asked = true;
+            list.asked();
+        }
+    }
+
     private synchronized InetSocketAddress use(Socket opened) {
         socket = opened;
         return address;
@@ -97,13 +107,14 @@
             log.info("feed.reached", "control feed reached again");
         }
         long silentAt = clock.micros() + limits.feedSilence();
-        for (int count = receive(from, buffer, silentAt); count >= 0; count = receive(from, buffer, silentAt)) {
+        for (int count = first(from, buffer); count >= 0; count = receive(from, buffer, silentAt)) {
             bytes.feed(buffer, 0, count);
             for (int end = bytes.indexOf('\n', searched); end >= 0; end = bytes.indexOf('\n', 0)) {
                 changed(FeedEvent.line(bytes.take(end)));
                 bytes.skip(1);
                 silentAt = clock.micros() + limits.feedSilence();
             }
+            asked();
             searched = bytes.size();
             if (searched > limits.feedLine()) {
                 throw new ProtocolException("a line is longer than " + limits.feedLine());
@@ -112,6 +123,15 @@
         throw new IOException("it closed the connection");
     }
 
+    /** What the feed has to tell at once; nothing if it has nothing new, and tells that only with its next sign of life. */
+    private int first(Socket from, byte[] buffer) throws IOException {
+        try {
+            return receive(from, buffer, clock.micros() + limits.feedFirst());
+        } catch (SocketTimeoutException e) {
+            return 0;
+        }
+    }
+
     /** Only whole lines are a sign of life: a feed may stop in the middle of one, or drip. */
     private int receive(Socket from, byte[] buffer, long silentAt) throws IOException {
         long left = silentAt - clock.micros();
