--- a/src/test/java/cairnline/program/ConfigurationTest.java
+++ b/src/test/java/cairnline/program/ConfigurationTest.java
@@ -53,6 +53,8 @@
         ConfigurationException e = assertThrows(ConfigurationException.class,
                 () -> read(text().substring(0, at) + 0 + rest));
         assertTrue(e.getMessage().startsWith("settings: "), e.getMessage());
+        assertEquals(1_024, read(text().substring(0, at) + 1_024 + rest).settings().fronts());
+        assertThrows(ConfigurationException.class, () -> read(text().substring(0, at) + "\"many\"" + rest));
     }
 
     /** What the platform refuses: other processes, IPv6 sockets, fronts and disks that a settings file would turn on. */
