--- a/src/main/java/cairnline/program/ManagerProcess.java
+++ b/src/main/java/cairnline/program/ManagerProcess.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /** A workload manager in a process of its own on a free loopback port; for trying, measuring and testing the whole. */
@@ -100,6 +101,24 @@
         process.destroyForcibly().waitFor();
     }
 
+    /** Sends SIGTERM and does not wait. */
+    void terminate() {
+        process.toHandle().destroy();
+    }
+
+    /** Sends SIGKILL after so many milliseconds, unless it has ended by then. */
+    void killAfter(long millis) {
+        CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS).execute(process::destroyForcibly);
+    }
+
+    /** Its exit code once it has ended by itself or by a signal; fails if it has not by then. */
+    int awaitExit(long seconds) throws InterruptedException {
+        if (!process.waitFor(seconds, TimeUnit.SECONDS)) {
+            throw new IllegalStateException("the process goes on after " + seconds + " s");
+        }
+        return process.exitValue();
+    }
+
     /** Ends it in order; gives its exit code. */
     int end() throws InterruptedException {
         process.destroy();
--- /dev/null
+++ b/src/test/java/cairnline/checks/KnownFailures.java
@@ -0,0 +1,57 @@
+package cairnline.checks;
+
+import java.io.IOException;
+import java.lang.reflect.Method;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.extension.ExtensionContext;
+import org.junit.jupiter.api.extension.InvocationInterceptor;
+import org.junit.jupiter.api.extension.ReflectiveInvocationContext;
+import org.opentest4j.TestAbortedException;
+
+/**
+ * Runs the tests that {@code KNOWN-RED.txt} lists and expects each of them to fail: a listed test that fails is reported as
+ * skipped, and one that passes fails, since its entry is out of date. Any other test is left as it is.
+ */
+public final class KnownFailures implements InvocationInterceptor {
+    private static final Path LIST = Path.of("KNOWN-RED.txt");
+
+    private final Set<String> listed = read();
+
+    /** Names of the listed tests: the first word of each line that is neither empty nor a comment. */
+    private static Set<String> read() {
+        try (var lines = Files.lines(LIST)) {
+            return lines.filter(line -> !line.isBlank() && !line.startsWith("#") && !line.startsWith(" "))
+                    .map(line -> line.split("\\s+")[0]).collect(Collectors.toSet());
+        } catch (IOException e) {
+            throw new IllegalStateException(LIST + " can't be read", e);
+        }
+    }
+
+    @Override
+    public void interceptTestMethod(Invocation<Void> test, ReflectiveInvocationContext<Method> called,
+                                    ExtensionContext context) throws Throwable {
+        String name = called.getTargetClass().getName() + "#" + called.getExecutable().getName();
+        if (!listed.contains(name)) {
+            test.proceed();
+            return;
+        }
+        Throwable failure = failureOf(test);
+        if (failure == null) {
+            throw new AssertionError(name + " passes but is listed in " + LIST);
+        }
+        System.out.println("known failure: " + name + ": " + failure);
+        throw new TestAbortedException("known failure: " + failure, failure);
+    }
+
+    private static Throwable failureOf(Invocation<Void> test) {
+        try {
+            test.proceed();
+            return null;
+        } catch (Throwable failure) {
+            return failure;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cairnline/program/CrowdTest.java
@@ -0,0 +1,90 @@
+package cairnline.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cairnline.protocol.ClientFrames;
+import cairnline.standin.StandInFeed;
+import cairnline.standin.StandInFleet;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Far more connections than there is room for, beside a client that goes on asking. */
+class CrowdTest {
+    private static final long LIMIT_S = 20;
+    private static final int SOCKETS = 256;
+    private static final int CROWD = 600;
+    private static final int ROUNDS = 20;
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void aCrowdTakesNoThreadsAndNoMoreDescriptorsThanTold() throws Exception {
+        try (StandInFleet fleet = new StandInFleet(4); StandInFeed feed = new StandInFeed();
+                ManagerProcess manager = new ManagerProcess(folder, 0, 1, feed.address(), null,
+                        "{\"n\": 0, \"events\": []}", SOCKETS)) {
+            feed.tell(true, hosts(fleet));
+            manager.start();
+            Ready.await(manager.port(), LIMIT_S);
+            try (FrameClient client = new FrameClient(manager.port())) {
+                serve(client);
+                long threads = threads(manager);
+                List<Socket> crowd = new ArrayList<>();
+                for (int i = 0; i < CROWD; i++) {
+                    crowd.add(new Socket(InetAddress.getByName("127.0.0.1"), manager.port()));
+                    if (i % (CROWD / ROUNDS) == 0) {
+                        serve(client);
+                        assertTrue(descriptors(manager) <= SOCKETS, descriptors(manager) + " descriptors");
+                        assertTrue(threads(manager) <= threads, threads(manager) + " threads, before the crowd " + threads);
+                    }
+                }
+                for (Socket each : crowd) {
+                    each.close();
+                }
+                serve(client);
+            }
+            assertEquals(0, manager.end(), manager.logged());
+        }
+    }
+
+    private static List<StandInFeed.Host> hosts(StandInFleet fleet) {
+        List<StandInFeed.Host> hosts = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            hosts.add(new StandInFeed.Host("s-" + i, fleet.address(i), "in_service", 0));
+        }
+        return hosts;
+    }
+
+    private static void serve(FrameClient client) throws Exception {
+        List<FrameClient.Call> calls = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            calls.add(client.ask("lookup", null, 7_000));
+        }
+        for (FrameClient.Call call : calls) {
+            assertEquals(ClientFrames.CODE_SERVED, call.code.get(LIMIT_S, TimeUnit.SECONDS));
+        }
+    }
+
+    private static long threads(ManagerProcess manager) throws IOException {
+        return count(manager, "task");
+    }
+
+    private static long descriptors(ManagerProcess manager) throws IOException {
+        return count(manager, "fd");
+    }
+
+    private static long count(ManagerProcess manager, String what) throws IOException {
+        try (var entries = Files.list(Path.of("/proc", Long.toString(manager.pid()), what))) {
+            return entries.count();
+        }
+    }
+}
--- a/src/test/java/cairnline/program/PlatformWireTest.java
+++ b/src/test/java/cairnline/program/PlatformWireTest.java
@@ -197,6 +197,73 @@
         }
     }
 
+    @Test
+    void openRequestsAreAnsweredThoughWhatFollowsThemCannotBeRead() throws Exception {
+        // Length too small, too large, a type that is not a client's, a stream that was used.
+        String used = request(1, Map.of("op", "lookup", "ttl", "1000", "call", "9b1f03aa5c7e2d41"));
+        for (String frame : new String[] {"00000004", "00040001", "ffffffff", "000000050300000001", used}) {
+            play("""
+                    list e1 ready
+                    client a send lookup r1
+                    client a send report r2
+                    engine expect r1+r2
+                    client a raw %s
+                    client a hear o
+                    engine send r2 ok two
+                    engine send r1 ok one
+                    client a expect - failed
+                    client a expect r2 served two
+                    client a expect r1 served one
+                    client a expect - closed""".formatted(frame));
+        }
+    }
+
+    @Test
+    void openRequestsAreAnsweredThoughTheFrameBehindThemIsNeverWhole() throws Exception {
+        play("""
+                list e1 ready
+                client a send lookup r1
+                engine expect r1
+                client a raw 000000ff00
+                client a hear no whole frame in time
+                engine send r1 ok one
+                client a expect - failed
+                client a expect r1 served one
+                client a expect - closed""");
+    }
+
+    @Test
+    void openRequestsAreAnsweredAfterTheirClientHasHalfClosed() throws Exception {
+        play("""
+                list e1 ready
+                client a send lookup r1
+                engine expect r1
+                client a finish
+                client b connect
+                wait connections 2
+                client b send lookup r2
+                engine expect r2
+                engine send r2 ok two
+                client b expect r2 served two
+                engine send r1 ok one
+                client a expect r1 served one
+                client a expect - closed""");
+    }
+
+    @Test
+    void aNewStreamMayHaveASmallerNumberThanAnEarlierOne() throws Exception {
+        String seven = request(7, Map.of("op", "nosuch", "ttl", "1000", "call", "9b1f03aa5c7e2d47"));
+        play("""
+                list e1 ready
+                client a raw %s
+                client a hear names no class
+                client a send lookup r1
+                engine expect r1
+                engine send r1 ok one
+                client a expect - failed
+                client a expect r1 served one""".formatted(seven));
+    }
+
     @Test
     void aFrameCutShortIsToldBeforeTheConnectionEnds() throws Exception {
         play("""
