Log why a client's connection ends with requests open

Now input that cannot be used and every end with requests open are logged with the peer's address, the cause and the requests' ids.

--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -30,7 +30,7 @@
                 (engine, owner) -> new HttpLink(Server.reach(engine.address(), log), owner, limits, clock, connections));
         list = new EngineList(core, limits, clock);
         listener = new Listener(odata.listen(), limits.clients() / 2, limits, clock);
-        front = new ODataFront(listener, core, odata.model(), configuration.patience(), limits, clock);
+        front = new ODataFront(listener, core, odata.model(), configuration.patience(), limits, clock, log);
         feed = odata.feed() == null ? null : new FeedClient(odata.feed(), list, limits, clock, log);
         if (!odata.engines().isEmpty()) {
             core.listed(true, odata.engines());
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -60,7 +60,7 @@
         list = new EngineList(core, limits, clock);
         feed = new FeedClient(configuration.feed(), list, limits, clock, log);
         clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits, clock), core,
-                configuration.classes(), limits, clock);
+                configuration.classes(), limits, clock, log);
         if (folder != null) {
             remember(folder);
         }
--- a/src/main/java/cairnline/transport/ClientFront.java
+++ b/src/main/java/cairnline/transport/ClientFront.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.logs.Events;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.Limits;
@@ -14,8 +15,9 @@
     public record ClassRules(boolean keyed, boolean ordered) { }
 
     /** A front at this listener. */
-    public ClientFront(Listener listener, Core core, Map<String, ClassRules> classes, Limits limits, Clock clock) {
-        super("clients", listener, core, limits, clock);
+    public ClientFront(Listener listener, Core core, Map<String, ClassRules> classes, Limits limits, Clock clock,
+                       Events log) {
+        super("clients", listener, core, limits, clock, log);
         this.classes = classes;
     }
 
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
 
 /** One client connection of the platform's protocol. */
 final class ClientSession implements Listener.Session, Peer.Handler {
@@ -103,6 +104,7 @@
 
     /** Nothing more is read here. */
     private void end(String problem) {
+        front.log().warn("client.unreadable", problem, "peer", peer.address(), "open", openIds());
         broken = true;
         leave();
         peer.send(error(problem));
@@ -125,12 +127,20 @@
 
     @Override
     public byte[] ended(boolean wasUp) {
+        if (!open.isEmpty()) {
+            front.log().warn("client.left", "connection ended with requests open", "peer", peer.address(),
+                    "cause", peer.cause(), "open", openIds());
+        }
         leave();
         allowance.end();
         whenEnded.run();
         return frames.partial() && !broken ? error("the connection ended inside a frame") : null;
     }
 
+    private String openIds() {
+        return open.values().stream().map(Request::id).collect(Collectors.joining(" "));
+    }
+
     private void leave() {
         for (Long stream : open.keySet()) {
             withdraw(stream);
--- a/src/main/java/cairnline/transport/ODataFront.java
+++ b/src/main/java/cairnline/transport/ODataFront.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.logs.Events;
 import cairnline.protocol.ODataModel;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
@@ -14,8 +15,8 @@
 
     /** A front at this listener; {@code patience} is how long clients of a class wait that do not say, in microseconds. */
     public ODataFront(Listener listener, Core core, ODataModel model, Map<String, Long> patience, Limits limits,
-                      Clock clock) {
-        super("odata", listener, core, limits, clock);
+                      Clock clock, Events log) {
+        super("odata", listener, core, limits, clock, log);
         this.model = model;
         this.patience = patience;
     }
--- a/src/main/java/cairnline/transport/Peer.java
+++ b/src/main/java/cairnline/transport/Peer.java
@@ -30,6 +30,8 @@
     private volatile long lingerUntil = Long.MAX_VALUE;
     /** It will say its last as soon as that can leave; the handler is asked no more. */
     private volatile boolean finishing;
+    /** Why it ended, in words. */
+    private volatile String cause = "end of input";
     /** Whether a thread reads it. */
     private boolean reading;
     /** It has come up and was not read yet; the outbox's, as what came while nobody read. */
@@ -163,10 +165,21 @@
     /** Leaves bytes to be written; a peer that lets its mailbox fill is closed. */
     void send(byte[] bytes) {
         if (!offer(now -> bytes)) {
+            cause = "outbox full or without a thread";
             close();
         }
     }
 
+    /** The other side's address. */
+    String address() {
+        return String.valueOf(socket.getRemoteSocketAddress());
+    }
+
+    /** Why the connection ended, in words. */
+    String cause() {
+        return cause;
+    }
+
     /** Waits until all that was left has been written, this long at most. */
     void flush(long most) {
         CountDownLatch written = new CountDownLatch(1);
@@ -220,6 +233,7 @@
             writingSince = 0;
         } catch (IOException e) {
             // The reader sees the end of the connection too and tells what is to be told.
+            cause = "write failed: " + e.getMessage();
             close();
         }
     }
@@ -255,6 +269,7 @@
             }
         } catch (IOException e) {
             // A reset ends the connection as an end of input does.
+            cause = cause.equals("end of input") ? "read failed: " + e.getMessage() : cause;
         } catch (RuntimeException | Error e) {
             end(handler);
             throw e;
--- a/src/main/java/cairnline/transport/SocketFront.java
+++ b/src/main/java/cairnline/transport/SocketFront.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.logs.Events;
 import cairnline.routing.Clock;
 import cairnline.routing.Core;
 import cairnline.routing.Limits;
@@ -13,15 +14,17 @@
     private final Core core;
     private final Limits limits;
     private final Clock clock;
+    private final Events log;
     private final AtomicLong openBytes = new AtomicLong();
     private volatile boolean stopping;
 
-    SocketFront(String name, Listener listener, Core core, Limits limits, Clock clock) {
+    SocketFront(String name, Listener listener, Core core, Limits limits, Clock clock, Events log) {
         this.name = name;
         this.listener = listener;
         this.core = core;
         this.limits = limits;
         this.clock = clock;
+        this.log = log;
     }
 
     abstract Listener.Session session(Socket socket);
@@ -70,4 +73,8 @@
     Clock clock() {
         return clock;
     }
+
+    Events log() {
+        return log;
+    }
 }
--- a/src/test/java/cairnline/program/ODataWire.java
+++ b/src/test/java/cairnline/program/ODataWire.java
@@ -47,7 +47,8 @@
     public int start(Core core, Configuration configuration, Clock clock) throws IOException {
         Listener listener = new Listener(configuration.listen(), Math.min(mostClients, configuration.limits().clients()),
                 configuration.limits(), clock);
-        front = new ODataFront(listener, core, MODEL, configuration.patience(), configuration.limits(), clock);
+        front = new ODataFront(listener, core, MODEL, configuration.patience(), configuration.limits(), clock,
+                (severity, name, words, pairs) -> { });
         front.start();
         return listener.port();
     }
--- a/src/test/java/cairnline/program/PlatformWire.java
+++ b/src/test/java/cairnline/program/PlatformWire.java
@@ -47,7 +47,8 @@
     public int start(Core core, Configuration configuration, Clock clock) throws IOException {
         Listener listener = new Listener(configuration.listen(), Math.min(mostClients, configuration.limits().clients()),
                 configuration.limits(), clock);
-        front = new ClientFront(listener, core, configuration.classes(), configuration.limits(), clock);
+        front = new ClientFront(listener, core, configuration.classes(), configuration.limits(), clock,
+                (severity, name, words, pairs) -> { });
         front.start();
         return listener.port();
     }
