Place an engine's start on the monotonic clock though the wall clock was stepped

What callers saw: nothing yet; found in the audit. After a step of an hour back, an engine that starts cold looks an hour old and gets no slow start; after a step forward it looks unborn. Cause: FeedClient took born_ms as a time of the program's clock, whose offset to the wall clock is read once at start. Change: WallClock keeps the periods between steps, sampled with each line of the feed, and places a start in a period to which it can belong; a start once told does not move. A kept list that is dated in the future starts no engine in the future.

--- a/src/main/java/cairnline/membership/ListedEngine.java
+++ b/src/main/java/cairnline/membership/ListedEngine.java
@@ -14,6 +14,11 @@
         this(id, address, listed, zone, kind, cell, size, startedAt, true);
     }
 
+    /** The same engine with another start. */
+    ListedEngine startedAt(long at) {
+        return new ListedEngine(id, address, listed, zone, kind, cell, size, at, sure);
+    }
+
     /** The same engine, listed otherwise. */
     public ListedEngine as(Listed other) {
         return new ListedEngine(id, address, other, zone, kind, cell, size, startedAt, sure);
--- a/src/main/java/cairnline/membership/Member.java
+++ b/src/main/java/cairnline/membership/Member.java
@@ -27,7 +27,8 @@
     /** Its age counts in both directions: a clock that was set back makes an entry no younger. */
     static Member remembered(Remembered r, long now, TrustSettings settings) {
         long age = Math.abs(now - r.confirmedAt());
-        return new Member(r.engine(), State.remembered(r.last()),
+        ListedEngine engine = r.engine().startedAt() > now ? r.engine().startedAt(now) : r.engine();
+        return new Member(engine, State.remembered(r.last()),
                 Trust.aged(settings.fresh(), age, settings.halfLife(), r.last()), r.toldAt(), r.aliveAt(), 0, null);
     }
 
--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -4,6 +4,7 @@
 import cairnline.pools.ConnectionBudget;
 import cairnline.routing.Core;
 import cairnline.routing.EngineList;
+import cairnline.routing.WallClock;
 import cairnline.transport.EventLoop;
 import cairnline.transport.FeedClient;
 import cairnline.transport.HttpLink;
@@ -34,7 +35,7 @@
         list = new EngineList(core, limits, clock);
         listener = new Listener(odata.listen(), limits.clients() / 2, limits, loop, log);
         front = new ODataFront(listener, core, odata.model(), configuration.patience(), limits, log);
-        feed = odata.feed() == null ? null : new FeedClient(odata.feed(), list, limits, clock, log);
+        feed = odata.feed() == null ? null : new FeedClient(odata.feed(), list, limits, clock, new WallClock(clock), log);
         if (!odata.engines().isEmpty()) {
             core.listed(true, odata.engines());
         }
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -11,6 +11,7 @@
 import cairnline.routing.Limits;
 import cairnline.routing.Request;
 import cairnline.routing.RequestTrace;
+import cairnline.routing.WallClock;
 import cairnline.settings.SettingsException;
 import cairnline.store.Snapshot;
 import cairnline.store.SnapshotFolder;
@@ -33,6 +34,7 @@
     private final ServeSettings settings;
     private final Limits limits;
     private final Clock clock = new Clock();
+    private final WallClock wallClock = new WallClock(clock);
     private final EventLog log;
     private final EventLoop loop;
     private final SnapshotKeeper keeper;
@@ -61,7 +63,7 @@
         // What the configuration knows is as old as the start takes: an engine may have begun to drain since.
         core.awaitFeed();
         list = new EngineList(core, limits, clock);
-        feed = new FeedClient(configuration.feed(), list, limits, clock, log);
+        feed = new FeedClient(configuration.feed(), list, limits, clock, wallClock, log);
         clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits, loop, log), core,
                 configuration.classes(), limits, log);
         if (folder != null) {
@@ -69,7 +71,7 @@
         }
         // As one event: its actor does not run yet, and its mailbox holds fewer than a long day has.
         list.changed(configuration.knownLast(), true, configuration.known().stream().allMatch(e -> e.hosts() == null) ? null
-                : FeedClient.entries(FeedEvent.standing(configuration.knownLast(), configuration.known())));
+                : FeedClient.entries(FeedEvent.standing(configuration.knownLast(), configuration.known()), wallClock));
         odata = settings.odata() == null ? null
                 : new ODataServer(configuration, settings.odata(), loop, log);
     }
@@ -116,7 +118,7 @@
 
     private void tell(Configuration configuration) {
         configuration.known().forEach(event ->
-                list.changed(event.number(), event.whole(), FeedClient.entries(event)));
+                list.changed(event.number(), event.whole(), FeedClient.entries(event, wallClock)));
     }
 
     /** Reads the configuration again, all of it before any of it counts; with a fault in it the old one stays. */
--- a/src/main/java/cairnline/transport/FeedClient.java
+++ b/src/main/java/cairnline/transport/FeedClient.java
@@ -7,6 +7,7 @@
 import cairnline.routing.Clock;
 import cairnline.routing.EngineList;
 import cairnline.routing.Limits;
+import cairnline.routing.WallClock;
 import cairnline.logs.Events;
 import cairnline.membership.ListedEngine;
 import java.io.IOException;
@@ -23,6 +24,7 @@
     private final EngineList list;
     private final Limits limits;
     private final Clock clock;
+    private final WallClock wallClock;
     private final Events log;
     private InetSocketAddress address;
     private boolean asked;
@@ -30,11 +32,13 @@
     private Socket socket = new Socket();
 
     /** A client that does not follow yet. */
-    public FeedClient(InetSocketAddress address, EngineList list, Limits limits, Clock clock, Events log) {
+    public FeedClient(InetSocketAddress address, EngineList list, Limits limits, Clock clock, WallClock wallClock,
+                      Events log) {
         this.address = address;
         this.list = list;
         this.limits = limits;
         this.clock = clock;
+        this.wallClock = wallClock;
         this.log = log;
     }
 
@@ -143,23 +147,28 @@
     }
 
     private void changed(FeedEvent event) {
+        wallClock.sample();
         if (event != null) {
-            list.changed(event.number(), event.whole(), entries(event));
+            list.changed(event.number(), event.whole(), entries(event, wallClock));
         }
     }
 
     /** The entries of an event in the core's terms; null if it does not change the list. */
-    public static List<ListedEngine> entries(FeedEvent event) {
-        return event.hosts() == null ? null : event.hosts().stream().map(FeedClient::entry).toList();
+    public static List<ListedEngine> entries(FeedEvent event, WallClock wallClock) {
+        return event.hosts() == null ? null : event.hosts().stream().map(host -> entry(host, wallClock)).toList();
     }
 
-    private static ListedEngine entry(FeedEvent.Host host) {
+    private static ListedEngine entry(FeedEvent.Host host, WallClock wallClock) {
         Listed listed = switch (host.state()) {
             case IN_SERVICE -> Listed.READY;
             case TERMINATING -> Listed.DRAINING;
             case TERMINATED -> Listed.GONE;
         };
+        long startedAt = wallClock.startOf(host.id(), Clock.ofUnix(host.bornMs()));
+        if (listed == Listed.GONE) {
+            wallClock.forget(host.id());
+        }
         return new ListedEngine(host.id(), host.address(), listed, host.zone(), host.kind(), host.cell(),
-                host.weight(), Clock.ofUnix(host.bornMs()));
+                host.weight(), startedAt);
     }
 }
--- a/src/test/java/cairnline/program/FirstAskTest.java
+++ b/src/test/java/cairnline/program/FirstAskTest.java
@@ -8,6 +8,7 @@
 import cairnline.routing.Core;
 import cairnline.routing.EngineList;
 import cairnline.routing.Limits;
+import cairnline.routing.WallClock;
 import cairnline.standin.StandInFeed;
 import cairnline.transport.FeedClient;
 import java.io.BufferedReader;
@@ -61,7 +62,7 @@
         list.changed(1, true, List.of());
         core.start();
         list.start();
-        new FeedClient(feed, list, limits, clock, new EventLog(EventLog.Format.TEXT, 16)).start();
+        new FeedClient(feed, list, limits, clock, new WallClock(clock), new EventLog(EventLog.Format.TEXT, 16)).start();
         return core;
     }
 
