--- a/src/main/java/cairnline/program/ManagerProcess.java
+++ b/src/main/java/cairnline/program/ManagerProcess.java
@@ -101,6 +101,18 @@
         process.destroyForcibly().waitFor();
     }
 
+    /** Sends SIGHUP; a file that is spoilt first is as before when this returns. */
+    void reload(boolean spoilt) throws IOException, InterruptedException {
+        String whole = Files.readString(config);
+        if (spoilt) {
+            Files.writeString(config, "{");
+        }
+        new ProcessBuilder("kill", "-HUP", Long.toString(pid())).start().waitFor();
+        if (spoilt) {
+            Files.writeString(config, whole);
+        }
+    }
+
     /** Sends SIGTERM and does not wait. */
     void terminate() {
         process.toHandle().destroy();
--- a/src/test/java/cairnline/program/FrameClient.java
+++ b/src/test/java/cairnline/program/FrameClient.java
@@ -26,6 +26,9 @@
     private final List<Call> calls = new ArrayList<>();
     private final CompletableFuture<Long> ended = new CompletableFuture<>();
     private long stream;
+    private volatile boolean turnedAway;
+    private volatile long leftAt;
+    private volatile long closedAt;
 
     /** One request; {@code writtenAt} is 0 until its last byte was written. */
     static final class Call {
@@ -37,6 +40,8 @@
         final CompletableFuture<Integer> code = new CompletableFuture<>();
         volatile long writtenAt;
         volatile long cancelledAt;
+        /** The client left, or spoilt what follows, before this request was whole: no answer is owed. */
+        volatile boolean notOwed;
         volatile int answers;
         volatile String rows;
 
@@ -96,11 +101,33 @@
         out.write(bytes);
     }
 
+    private void leave() {
+        leftAt = leftAt == 0 ? System.nanoTime() : leftAt;
+    }
+
     void halfClose() throws IOException {
+        leave();
         socket.shutdownOutput();
     }
 
+    /** Whether it was told that there is no room for it. */
+    boolean isTurnedAway() {
+        return turnedAway;
+    }
+
+    /** When this side closed it; 0 before. */
+    long closedAt() {
+        return closedAt;
+    }
+
+    /** When this side closed it or said its last; 0 before. */
+    long leftAt() {
+        return leftAt;
+    }
+
     void reset() throws IOException {
+        leave();
+        closedAt = closedAt == 0 ? System.nanoTime() : closedAt;
         socket.setSoLinger(true, 0);
         socket.close();
     }
@@ -137,6 +164,9 @@
 
     private void take(ClientFrames.Frame frame) {
         Call call = frame.type() == ClientFrames.ANSWER ? byStream.get(frame.stream()) : null;
+        if (frame.type() == ClientFrames.ANSWER && frame.stream() == 0) {
+            turnedAway |= new String(frame.payload(), StandardCharsets.UTF_8).contains("too many connections");
+        }
         if (call != null) {
             call.answers++;
             call.rows = new String(ClientFrames.content(tail(frame.payload())).body(), StandardCharsets.UTF_8);
@@ -150,6 +180,8 @@
 
     @Override
     public void close() throws IOException {
+        leave();
+        closedAt = closedAt == 0 ? System.nanoTime() : closedAt;
         socket.close();
     }
 }
