End a connection on which an attempt was given up half written

A command that a hung engine had taken a part of was written on when the engine took more, though its request had been given up or its client had gone long before: an attempt that begins after its client has gone. Change: before the rest of a letter is written after a stall, the letter is asked whether it is still wanted; if not, the connection ends and the engine never has the command whole. Evidence: PeerTest#aLetterThatIsGivenUpHalfWrittenNeverArrivesWhole fails with the check taken out and passes with it.

--- a/src/main/java/cairnline/transport/Peer.java
+++ b/src/main/java/cairnline/transport/Peer.java
@@ -41,8 +41,9 @@
     private SelectionKey key;
     private EventLoop.Timer timer;
     private boolean up;
-    /** What is being written; null between letters. */
+    /** What is being written, and its letter; null between letters. */
     private ByteBuffer current;
+    private Letter currentLetter;
     /** Since when the peer has taken nothing of {@link #current}; 0 if nothing waits. */
     private long stalledSince;
     private long lastRead;
@@ -80,9 +81,15 @@
         void ended(boolean wasUp);
     }
 
-    /** Something to write, made when its turn has come; null if by then there is nothing to be written. */
+    /** Something to write. */
     interface Letter {
+        /** Its bytes, made when its turn has come; null if by then there is nothing to be written. */
         byte[] bytes(long now);
+
+        /** Whether the rest of it may follow after the peer has taken a part only; else the connection ends. */
+        default boolean isWanted() {
+            return true;
+        }
     }
 
     private Peer(EventLoop loop, Limits limits, Handler handler) {
@@ -328,6 +335,10 @@
         }
         try {
             while (nextLetter()) {
+                if (stalledSince > 0 && !currentLetter.isWanted()) {
+                    closeNow("given up while a part of it was written");
+                    return;
+                }
                 channel.write(current);
                 if (current.hasRemaining()) {
                     stalledSince = stalledSince == 0 ? clock.micros() : stalledSince;
@@ -356,7 +367,8 @@
             if (letters.isEmpty() || handler.isQuiescent() && !stillUp()) {
                 return false;
             }
-            byte[] bytes = bytesOf(letters.poll());
+            currentLetter = letters.poll();
+            byte[] bytes = bytesOf(currentLetter);
             if (bytes == null) {
                 waiting.decrementAndGet();
             } else {
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -143,7 +143,7 @@
             }
             exchanges.put(id, exchange);
         }
-        if (!peer.ask(now -> command(exchange, now))) {
+        if (!peer.ask(new Command(exchange))) {
             synchronized (this) {
                 // If the connection has ended in between, its end has told of this attempt.
                 return !exchanges.remove(id, exchange);
@@ -152,6 +152,25 @@
         return true;
     }
 
+    /** The letter that carries an attempt; one that is given up must not arrive whole later. */
+    private final class Command implements Peer.Letter {
+        private final Exchange exchange;
+
+        Command(Exchange exchange) {
+            this.exchange = exchange;
+        }
+
+        @Override
+        public byte[] bytes(long now) {
+            return command(exchange, now);
+        }
+
+        @Override
+        public boolean isWanted() {
+            return exchange.attempt.wanted();
+        }
+    }
+
     /** The command, if it may still leave when its turn comes: it may have waited behind a slow engine. */
     private byte[] command(Exchange exchange, long now) {
         Attempt attempt = exchange.attempt;
--- a/src/test/java/cairnline/transport/PeerTest.java
+++ b/src/test/java/cairnline/transport/PeerTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -162,6 +163,27 @@
         assertEquals("read 1", event());
     }
 
+    @Test
+    void aLetterThatIsGivenUpHalfWrittenNeverArrivesWhole() throws Exception {
+        AtomicBoolean wanted = new AtomicBoolean(true);
+        peer.offer(new Peer.Letter() {
+            @Override
+            public byte[] bytes(long now) {
+                return new byte[LARGE];
+            }
+
+            @Override
+            public boolean isWanted() {
+                return wanted.get();
+            }
+        });
+        read(1);
+        wanted.set(false);
+        int count = other.getInputStream().readAllBytes().length;
+        assertTrue(count < LARGE - 1, () -> count + " bytes arrived");
+        assertEquals("ended true", event());
+    }
+
     @Test
     void whatIsLeftBeforeTheFinishIsWrittenAfterTheOtherSideSendsNoMore() throws Exception {
         other.shutdownOutput();
