Let no attempt leave once its client has gone, ahead of the core's mailbox

What callers saw: engines got attempts more than 0.1 s after the client had cancelled or closed. Cause: Core.abandon only left a letter, which waits behind hundreds of others where the core is behind; meanwhile the core sent the request and the link wrote it.

--- a/src/main/java/cairnline/routing/Attempt.java
+++ b/src/main/java/cairnline/routing/Attempt.java
@@ -63,7 +63,12 @@
 
     /** False once nobody waits for its answer; read by links on their own threads. */
     public boolean wanted() {
-        return wanted;
+        return wanted && request.isWaitedFor();
+    }
+
+    /** Whether it may still leave; read by links on their own threads. */
+    public boolean mayBegin() {
+        return wanted && request.mayBegin();
     }
 
     void unwanted() {
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -156,6 +156,7 @@
 
     /** Nobody waits for this request any more. */
     public void abandon(Request request) {
+        request.interest().lose();
         actor.put(() -> abandoned(request));
     }
 
@@ -164,6 +165,7 @@
      * still end and be answered.
      */
     public void detach(Request request) {
+        request.interest().detach();
         actor.put(() -> detached(request));
     }
 
--- a/src/main/java/cairnline/routing/Request.java
+++ b/src/main/java/cairnline/routing/Request.java
@@ -10,7 +10,38 @@
  * microseconds on one core, 0 if unknown; {@code tables} is -1 if unknown.
  */
 public record Request(String id, String type, byte[] statement, String repeatKey, Long order, long takenAt, long patience,
-                      long work, double memory, int tables, Front front) {
+                      long work, double memory, int tables, Front front, Interest interest) {
+    /** A request that its client waits for. */
+    public Request(String id, String type, byte[] statement, String repeatKey, Long order, long takenAt, long patience,
+                   long work, double memory, int tables, Front front) {
+        this(id, type, statement, repeatKey, order, takenAt, patience, work, memory, tables, front, new Interest());
+    }
+
+    /** Whether the client still waits, set by its front and read by links at once, ahead of the core's mailbox. */
+    public static final class Interest {
+        private volatile boolean lost;
+        private volatile boolean detached;
+
+        void lose() {
+            lost = true;
+        }
+
+        void detach() {
+            detached = true;
+        }
+    }
+
+    /** Whether anybody waits for the answer. */
+    boolean isWaitedFor() {
+        return !interest.lost;
+    }
+
+    /** Whether an attempt may begin. */
+    boolean mayBegin() {
+        return !interest.lost && !interest.detached;
+    }
+
+
     /** Whether another request that bears the same id is this one once more, as a client may ask on a new connection. */
     boolean asksTheSame(Request other) {
         return type.equals(other.type) && Arrays.equals(statement, other.statement)
