--- a/src/main/java/cairnline/transport/Peer.java
+++ b/src/main/java/cairnline/transport/Peer.java
@@ -23,6 +23,8 @@
 final class Peer implements EventLoop.Handler {
     /** So many letters may wait before the peer is not read any more. */
     private static final int LETTERS_BEFORE_PAUSE = 64;
+    /** What a channel's read gives at the end; other numbers below 0 stand for a call that was interrupted. */
+    private static final int END_OF_INPUT = -1;
 
     private final EventLoop loop;
     private final Limits limits;
@@ -297,7 +299,7 @@
             end();
             return false;
         }
-        if (count < 0) {
+        if (count == END_OF_INPUT) {
             endOfInput();
         } else if (count > 0) {
             take(buffer.array(), count);
