Count a request's time from when its bytes can have come, not from when they are read

What callers saw: the deadline passed to an engine was up to 0.35 s above what the client had left. Cause: takenAt was the time of the read. A connection that waits to be accepted (the listener pauses after a failed accept, and a crowd stands before it) or a slow round of the event loop makes the read late. Change: the loop keeps when the selector last found nothing ready; a listener and a connection keep since when something may have waited there, until a call proves that nothing is left (a short read proves nothing, an interrupted accept gives null).

--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -25,7 +25,7 @@
     /** A peer that has closed both ways answers the first write by a reset, which fails the second. */
     private static final long SECOND_NOTICE_MICROS = 20_000;
     /** Within this time after the end of the input a request that was just taken may still go out. */
-    private static final long DETACH_AFTER_MICROS = 30_000;
+    private static final long DETACH_AFTER_MICROS = 10_000;
 
     private final SocketChannel channel;
     private final ClientFront front;
@@ -49,9 +49,9 @@
     }
 
     @Override
-    public void start(Runnable ended) throws IOException {
+    public void start(long since, Runnable ended) throws IOException {
         whenEnded = ended;
-        peer.start();
+        peer.start(since);
         if (front.isStopping()) {
             stopping();
         }
--- a/src/main/java/cairnline/transport/EventLoop.java
+++ b/src/main/java/cairnline/transport/EventLoop.java
@@ -32,6 +32,9 @@
             new TreeSet<>(Comparator.comparingLong(Timer::due).thenComparingLong(Timer::number));
     private final ByteBuffer readBuffer = ByteBuffer.allocate(READ_BUFFER_BYTES);
     private long timerCount;
+    /** When the selector was last asked, and no channel but those it gave was ready. */
+    private long polledAt;
+    private long arrivedSince;
     private volatile boolean closed;
 
     /** What a registered channel's readiness is told to. */
@@ -91,6 +94,14 @@
         }
     }
 
+    /**
+     * The earliest time at which what a ready channel holds can have come, as far as it was read out before: since the
+     * selector was last asked, which is long ago where a round took long.
+     */
+    long arrivedSince() {
+        return arrivedSince;
+    }
+
     /** A buffer that any callback may use until it returns. */
     ByteBuffer readBuffer() {
         return readBuffer.clear();
@@ -104,6 +115,7 @@
     }
 
     private void run() {
+        polledAt = clock.micros();
         while (!closed) {
             select();
             wakeupPending.set(false);
@@ -115,19 +127,27 @@
 
     private void select() {
         try {
-            long wait = tasks.isEmpty() ? untilNextTimer() : 0;
-            if (wait == 0) {
-                selector.selectNow();
-            } else if (wait == Long.MAX_VALUE) {
-                selector.select();
-            } else {
-                selector.select(wait);
+            arrivedSince = polledAt;
+            polledAt = clock.micros();
+            if (selector.selectNow() == 0) {
+                arrivedSince = polledAt;
+                await();
             }
         } catch (IOException e) {
             throw new IllegalStateException("the selector failed", e);
         }
     }
 
+    /** Waits until something is ready; nothing was when the selector was asked before. */
+    private void await() throws IOException {
+        long wait = tasks.isEmpty() ? untilNextTimer() : 0;
+        if (wait == Long.MAX_VALUE) {
+            selector.select();
+        } else if (wait > 0) {
+            selector.select(wait);
+        }
+    }
+
     /** Milliseconds until the next timer is due, rounded up; 0 if one is due. */
     private long untilNextTimer() {
         if (timers.isEmpty()) {
--- a/src/main/java/cairnline/transport/Listener.java
+++ b/src/main/java/cairnline/transport/Listener.java
@@ -40,6 +40,8 @@
     private volatile int sessionCount;
     private SelectionKey key;
     private Runnable whenEmpty = () -> { };
+    /** Since when connections may wait that were not accepted; 0 if none did when last looked at. */
+    private long leftSince;
     private long evicted;
     private long turnedAway;
     private long acceptsFailed;
@@ -48,8 +50,8 @@
 
     /** One accepted connection; all on the loop's thread. */
     interface Session {
-        /** Starts to serve; {@code ended} must be called once it is over. */
-        void start(Runnable ended) throws IOException;
+        /** Starts to serve what may have come since a time; {@code ended} must be called once it is over. */
+        void start(long since, Runnable ended) throws IOException;
 
         /** The program is stopping: asks the client to ask no more. */
         void stopping();
@@ -134,20 +136,29 @@
         for (int i = 0; i < ACCEPTS_PER_ROUND; i++) {
             SocketChannel channel;
             try {
-                channel = server.accept();
+                channel = nextWaiting();
             } catch (IOException e) {
                 // Out of descriptors or memory, or the connection has been aborted: others may still come up.
                 pauseAccepting(e.getMessage());
                 return;
             }
             if (channel == null) {
+                leftSince = 0;
                 return;
             }
             admit(channel);
         }
+        leftSince = waitingSince();
+    }
+
+    /** The next connection that waits; null if none does. An interrupted call gives null too, but hardly twice. */
+    private SocketChannel nextWaiting() throws IOException {
+        SocketChannel channel = server.accept();
+        return channel != null ? channel : server.accept();
     }
 
     private void pauseAccepting(String why) {
+        leftSince = waitingSince();
         acceptsFailed++;
         lastFailure = why;
         report();
@@ -174,7 +185,7 @@
         sessions.add(session);
         sessionCount = sessions.size();
         try {
-            session.start(() -> ended(session));
+            session.start(waitingSince(), () -> ended(session));
         } catch (IOException e) {
             // It has left at once.
             session.close();
@@ -186,6 +197,11 @@
         }
     }
 
+    /** Since when a connection that is accepted now may have waited. */
+    private long waitingSince() {
+        return leftSince > 0 ? leftSince : loop.arrivedSince();
+    }
+
     private void ended(Session session) {
         sessions.remove(session);
         sessionCount = sessions.size();
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -19,7 +19,7 @@
  */
 final class ODataSession implements Listener.Session, Peer.Handler {
     /** Within this time after the end of the input a request that was just taken may still go out. */
-    private static final long DETACH_AFTER_MICROS = 30_000;
+    private static final long DETACH_AFTER_MICROS = 10_000;
 
     private final ODataFront front;
     private final SocketChannel channel;
@@ -53,9 +53,9 @@
     }
 
     @Override
-    public void start(Runnable ended) throws IOException {
+    public void start(long since, Runnable ended) throws IOException {
         whenEnded = ended;
-        peer.start();
+        peer.start(since);
     }
 
     @Override
--- a/src/main/java/cairnline/transport/Peer.java
+++ b/src/main/java/cairnline/transport/Peer.java
@@ -23,6 +23,8 @@
 final class Peer implements EventLoop.Handler {
     /** So many letters may wait before the peer is not read any more. */
     private static final int LETTERS_BEFORE_PAUSE = 64;
+    /** Reads of one connection before others are served again. */
+    private static final int READS_PER_ROUND = 8;
     /** What a channel's read gives at the end; other numbers below 0 stand for a call that was interrupted. */
     private static final int END_OF_INPUT = -1;
 
@@ -49,6 +51,8 @@
     /** Since when the peer has taken nothing of {@link #current}; 0 if nothing waits. */
     private long stalledSince;
     private long lastRead;
+    /** Since when bytes may have waited unread; 0 if all that had come was read. */
+    private long unreadSince;
     private boolean inputEnded;
     private boolean inputIgnored;
     private long ignoredBytes;
@@ -57,8 +61,8 @@
 
     /** What is done with a connection; all on the loop's thread. */
     interface Handler {
-        /** Bytes have come. */
-        void read(byte[] bytes, int count, long now);
+        /** Bytes have come, no earlier than at this time. */
+        void read(byte[] bytes, int count, long arrivedAt);
 
         /** When {@link #quiet} is asked next, if the last bytes came then; microseconds. */
         long due(long lastRead);
@@ -113,8 +117,9 @@
         return new Peer(loop, limits, handler);
     }
 
-    /** Serves an accepted connection; on the loop's thread. */
-    void start() throws IOException {
+    /** Serves an accepted connection, whose first bytes may have come since this time; on the loop's thread. */
+    void start(long since) throws IOException {
+        unreadSince = since;
         channel.configureBlocking(false);
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         address = String.valueOf(channel.getRemoteAddress());
@@ -262,10 +267,10 @@
             flush();
         }
         if (!over && ready.isReadable()) {
-            readNow();
-            if (!over) {
-                rearm();
+            for (int i = 0; i < READS_PER_ROUND && readNow(); i++) {
+                // A short read is no proof that there is no more.
             }
+            rearm();
         }
     }
 
@@ -285,11 +290,12 @@
         cameUp();
     }
 
-    /** Reads what is there, once; false if nothing was. On the loop's thread. */
+    /** Reads once; false if nothing was there, which alone proves that all that had come was read. On the loop's thread. */
     boolean readNow() {
         if (over || !up || inputEnded) {
             return false;
         }
+        long arrivedAt = unreadSince > 0 ? unreadSince : loop.arrivedSince();
         ByteBuffer buffer = loop.readBuffer();
         int count;
         try {
@@ -299,22 +305,23 @@
             end();
             return false;
         }
+        unreadSince = count == 0 ? 0 : arrivedAt;
         if (count == END_OF_INPUT) {
             endOfInput();
         } else if (count > 0) {
-            take(buffer.array(), count);
+            take(buffer.array(), count, arrivedAt);
         }
-        return count > 0;
+        return count != 0 && !over && !inputEnded;
     }
 
-    private void take(byte[] bytes, int count) {
+    private void take(byte[] bytes, int count, long arrivedAt) {
         if (inputIgnored || lingerUntil < Long.MAX_VALUE) {
             ignoredBytes += count;
             updateInterest();
             return;
         }
         lastRead = clock.micros();
-        handler.read(bytes, count, lastRead);
+        handler.read(bytes, count, arrivedAt);
     }
 
     private void endOfInput() {
@@ -411,6 +418,9 @@
         }
         boolean paused = waiting.get() > LETTERS_BEFORE_PAUSE && current != null;
         boolean reads = !inputEnded && !paused && ignoredBytes <= limits.lingerBytes();
+        if (!reads && unreadSince == 0) {
+            unreadSince = clock.micros();
+        }
         int operations = (reads ? SelectionKey.OP_READ : 0) | (current != null ? SelectionKey.OP_WRITE : 0);
         if (key.interestOps() != operations) {
             key.interestOps(operations);
--- a/src/main/java/cairnline/transport/StandInEngine.java
+++ b/src/main/java/cairnline/transport/StandInEngine.java
@@ -39,9 +39,9 @@
         }
 
         @Override
-        public void start(Runnable ended) throws IOException {
+        public void start(long since, Runnable ended) throws IOException {
             whenEnded = ended;
-            peer.start();
+            peer.start(since);
         }
 
         @Override
