--- a/src/main/java/cairnline/control/ControlApi.java
+++ b/src/main/java/cairnline/control/ControlApi.java
@@ -167,7 +167,8 @@
      * All that a front is told at start. {@code grantCap} is the share of an engine's memory one query gets at most;
      * {@code overShareWorth} the part of its worth that a request past its tenant's share keeps; {@code follow} is
      * true where the list must be asked for; {@code notePeriod} the time between notes on an attempt, 0 without;
-     * {@code marksRepeats} is true where clients mark a request that they ask again; {@code probePrice} is the part of the worth asked for that a
+     * {@code marksRepeats} is true where clients mark a request that they ask again; {@code probePrice} is the part of
+     * the worth asked for that a
      * probe for each request costs.
      */
     record Settings(int self, int fronts, String zone, List<Type> types, List<Tenant> tenants, Map<String, Kind> kinds,
--- a/src/main/java/cairnline/control/Placement.java
+++ b/src/main/java/cairnline/control/Placement.java
@@ -55,7 +55,8 @@
     }
 
     /**
-     * The index, from there on, of the first in the group's order among a few engines drawn, one of them already. Fronts so many that each
+     * The index, from there on, of the first in the group's order among a few engines drawn, one of them already.
+     * Fronts so many that each
      * hears of an engine once in tens of seconds can't see that it is full: where all of them look at the same one
      * first, the engine of a group that is much read gets all of that. Of N engines none gets more than DRAWS / N of a
      * group so, and all groups together spread evenly.
--- a/src/main/java/cairnline/control/ProbeBudget.java
+++ b/src/main/java/cairnline/control/ProbeBudget.java
@@ -7,7 +7,8 @@
  *
  * <p>Each front asking each engine every second is nothing for three fronts and six engines, but grows with fronts times
  * engines. So a front asks at most as often as its own requests pay for: then all fronts together do so too, however
- * many they are. Outside of that stand engines that may be lost, and one probe in the longest pause. Each pause is drawn anew: fronts that hear of the same idle engine at the same moment all send there.
+ * many they are. Outside of that stand engines that may be lost, and one probe in the longest pause.
+ * Each pause is drawn anew: fronts that hear of the same idle engine at the same moment all send there.
  */
 final class ProbeBudget {
     /** Part of the worth asked for that all probes together may cost, at the price told. */
--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -280,13 +280,21 @@
         long connect = fields.whole("permissions.connectTimeoutNs", 250_000_000) / NANOS_PER_MICRO;
         long idleClose = fields.whole("permissions.idleCloseNs", 30_000_000_000L) / NANOS_PER_MICRO;
         long drainGrace = fields.whole("safety.drainGraceNs", 1_000_000_000) / NANOS_PER_MICRO;
-        return new Limits(4096, 256, 512 * 1024, clients(sockets), 32,
-                (int) Math.min(4096, fields.whole("permissions.maxOpen", 4096)), 8 << 20,
-                idleClose * 2 / 3, Clock.ofMillis(4_500), Clock.ofMillis(250), Clock.ofMillis(2_000), Clock.ofMillis(2_500),
-                Clock.ofMillis(500), 65_536, Clock.ofMillis(20_000), 262_144, 8_192, 6_000, 64, 48_000, 8, engines(sockets),
-                (int) fields.whole("permissions.streamsPerConn", 100), 4, silence(fields),
-                Clock.ofMillis(500), connect, Clock.ofMillis(1_000), Clock.ofMillis(200),
-                Clock.ofMillis(2_300), Clock.ofMillis(250), 4 << 20, Clock.ofMillis(50), drainGrace / 2, STOP_TAKING,
-                stopAnswering(longestDeadline), STOP_DRAIN, Clock.ofMillis(1_000), 24, 16_384, 1 << 20, 64, 100);
+        long answerMargin = Clock.ofMillis(50);
+        Limits.Routing routing = new Limits.Routing(4_096, 512 * 1_024,
+                (int) Math.min(4_096, fields.whole("permissions.maxOpen", 4_096)), answerMargin, drainGrace / 2,
+                Clock.ofMillis(1_000));
+        Limits.Connections connections = new Limits.Connections(256, Clock.ofMillis(500), 65_536, Clock.ofMillis(20_000),
+                connect);
+        Limits.Clients clients = new Limits.Clients(clients(sockets), 32, 8 << 20, Clock.ofMillis(4_500),
+                Clock.ofMillis(250), Clock.ofMillis(2_000), Clock.ofMillis(2_500), 262_144);
+        Limits.Engines engines = new Limits.Engines(idleClose * 2 / 3, 8, engines(sockets),
+                (int) fields.whole("permissions.streamsPerConn", 100), 4, silence(fields), Clock.ofMillis(500), 8_192, 6_000,
+                64, 48_000);
+        Limits.Feed feed = new Limits.Feed(Clock.ofMillis(1_000), Clock.ofMillis(200), Clock.ofMillis(2_300),
+                Clock.ofMillis(250), 4 << 20);
+        Limits.Shutdown shutdown = new Limits.Shutdown(STOP_TAKING, stopAnswering(longestDeadline), STOP_DRAIN);
+        Limits.Http http = new Limits.Http(24, 16_384, 1 << 20, 64, 100);
+        return new Limits(routing, connections, clients, engines, feed, shutdown, http);
     }
 }
--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -25,15 +25,15 @@
     ODataServer(Configuration configuration, ODataConfiguration odata, EventLoop loop, Events log) throws IOException {
         var clock = loop.clock();
         var limits = configuration.limits();
-        drainMost = limits.flush();
+        drainMost = limits.shutdown().draining();
         ConnectionBudget<PooledLink.Connection> connections =
-                new ConnectionBudget<>(limits.enginesConnections(), limits.idle());
+                new ConnectionBudget<>(limits.engines().connections(), limits.engines().idle());
         // OData has no words for a load or for notes: their absence must not count as silence.
         core = new Core(configuration.settings().withoutReports(), configuration.seed(), limits, clock,
                 line -> log.warn("module", line),
                 (engine, owner) -> new HttpLink(Server.reach(engine.address(), log), owner, limits, loop, connections));
         list = new EngineList(core, limits, clock);
-        listener = new Listener(odata.listen(), limits.clients() / 2, limits, loop, log);
+        listener = new Listener(odata.listen(), limits.clients().connections() / 2, limits, loop, log);
         front = new ODataFront(listener, core, odata.model(), configuration.patience(), limits, log);
         feed = odata.feed() == null ? null : new FeedClient(odata.feed(), list, limits, clock, new WallClock(clock), log);
         if (!odata.engines().isEmpty()) {
--- a/src/main/java/cairnline/program/RehearseCommand.java
+++ b/src/main/java/cairnline/program/RehearseCommand.java
@@ -27,9 +27,10 @@
             return 0;
         }
         Limits limits = Configuration.defaultLimits();
-        EventLoop loop = new EventLoop("stand-in", limits.coreStack(), new Clock());
+        EventLoop loop = new EventLoop("stand-in", limits.routing().stackBytes(), new Clock());
         loop.start();
-        new StandInEngine(new Listener(read.standIn(), limits.clients(), limits, loop, Events.NONE), limits).start();
+        Listener listener = new Listener(read.standIn(), limits.clients().connections(), limits, loop, Events.NONE);
+        new StandInEngine(listener, limits).start();
         System.out.println("stand-in engine listens at " + read.standIn());
         Thread.currentThread().join();
         return 0;
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -50,21 +50,22 @@
         this.settings = settings;
         limits = configuration.limits();
         log = new EventLog(settings.logFormat(), settings.logQueue());
-        loop = new EventLoop("connections", limits.coreStack(), clock);
+        loop = new EventLoop("connections", limits.routing().stackBytes(), clock);
         SnapshotFolder folder = settings.snapshots() == null ? null
                 : new SnapshotFolder(settings.snapshots(), settings.store(), log);
         ConnectionBudget<PooledLink.Connection> connections =
-                new ConnectionBudget<>(limits.enginesConnections(), limits.idle());
+                new ConnectionBudget<>(limits.engines().connections(), limits.engines().idle());
         keeper = folder == null ? null : new SnapshotKeeper(folder, settings.store(), log, clock::micros);
         core = new Core(configuration.settings(), configuration.seed(), limits, clock,
                 line -> log.warn("module", line),
-                (engine, owner) -> new RespLink(engine.id(), reach(engine.address(), log), owner, limits, loop, connections),
+                (engine, owner) -> new RespLink(engine.id(), reach(engine.address(), log), owner, limits, loop, connections,
+                        log),
                 settings.trust(), keeper == null ? Keeper.NONE : keeper, settings.logRequests() ? this::trace : RequestTrace.OFF);
         // What the configuration knows is as old as the start takes: an engine may have begun to drain since.
         core.awaitFeed();
         list = new EngineList(core, limits, clock);
         feed = new FeedClient(configuration.feed(), list, limits, clock, wallClock, log);
-        clients = new ClientFront(new Listener(configuration.listen(), limits.clients(), limits, loop, log), core,
+        clients = new ClientFront(new Listener(configuration.listen(), limits.clients().connections(), limits, loop, log), core,
                 configuration.classes(), limits, log);
         if (folder != null) {
             remember(folder);
@@ -151,12 +152,12 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        clients.drain(limits.flush());
+        clients.drain(limits.shutdown().draining());
         if (odata != null) {
             odata.drain();
         }
         if (keeper != null) {
-            keeper.flush(limits.flush());
+            keeper.flush(limits.shutdown().draining());
         }
         log.flush(LOG_FLUSH_MS);
         stopped.countDown();
--- a/src/main/java/cairnline/routing/Core.java
+++ b/src/main/java/cairnline/routing/Core.java
@@ -4,7 +4,6 @@
 import cairnline.control.ControlApi;
 import cairnline.control.ControlApi.Actions;
 import cairnline.control.ControlApi.End;
-import cairnline.control.ControlApi.Listed;
 import cairnline.control.ControlApi.Load;
 import cairnline.control.ControlApi.Note;
 import cairnline.control.ControlApi.NoteKind;
@@ -17,14 +16,11 @@
 import cairnline.membership.Remembered;
 import cairnline.membership.TrustSettings;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.BiFunction;
 
@@ -33,13 +29,13 @@
  * carries out what it asks. It knows no wire. What other threads call only leaves a letter.
  */
 public final class Core implements Actor.Turns, Actions {
+    private static final String STOPS = "this workload manager stops";
     private static final String NO_ENGINE = "no engine that is remembered can be reached";
 
     private final Limits limits;
     private final Settings settings;
     private final long seed;
     private final Consumer<String> log;
-    private final BiFunction<ListedEngine, Core, EngineLink> links;
     private final Actor actor;
     private final Timers timers = new Timers();
     /** What the module is told once it has returned: it may not be called from within its own actions. */
@@ -49,7 +45,7 @@
     /** The same by the ids that clients gave. */
     private final Map<String, OpenRequest> byClientId = new HashMap<>();
     private final Map<Attempt, Out> out = new IdentityHashMap<>();
-    private final Map<String, Engine> engines = new HashMap<>();
+    private final EngineRegistry engines;
     private final Membership membership;
     private final Keeper keeper;
     private final RequestTrace trace;
@@ -83,46 +79,13 @@
         this.seed = seed;
         this.limits = limits;
         this.log = log;
-        this.links = links;
-        this.actor = new Actor("core", limits.coreMailbox(), limits.coreMailbox(), limits.coreStack(), clock, this);
-    }
-
-    /** An engine that is listed, or gone with attempts still out. */
-    private static final class Engine {
-        ListedEngine listed;
-        final EngineLink link;
-        int attemptsOut;
-
-        Engine(ListedEngine listed, EngineLink link) {
-            this.listed = listed;
-            this.link = link;
-        }
-    }
-
-    /** A request with its attempts; kept after its answer until the last attempt is over. */
-    private static final class OpenRequest {
-        final String id;
-        final Request request;
-        final long deadline;
-        final List<Attempt> attempts = new ArrayList<>(2);
-        final List<Attempt> out = new ArrayList<>(2);
-        int priority = 1;
-        boolean answered;
-        /** No further attempt may begin. */
-        boolean detached;
-        /** An attempt ended in a way that does not prove that it never ran. */
-        boolean mayHaveRun;
-        boolean late;
-
-        OpenRequest(String id, Request request, long deadline) {
-            this.id = id;
-            this.request = request;
-            this.deadline = deadline;
-        }
+        this.engines = new EngineRegistry(engine -> links.apply(engine, this), limits.routing().drainGrace());
+        int mailbox = limits.routing().mailbox();
+        this.actor = new Actor("core", mailbox, mailbox, limits.routing().stackBytes(), clock, this);
     }
 
     /** An attempt that is out: whose it is, and where; null if its engine is not listed. */
-    private record Out(OpenRequest owner, Engine engine) { }
+    private record Out(OpenRequest owner, EngineRegistry.Entry engine) { }
 
     // ---- For other threads ----
 
@@ -206,11 +169,11 @@
             stopping = true;
             ready = false;
             keeper.keep(membership.view(now), true);
-            timers.at(now + limits.stopTaking(), () -> {
+            timers.at(now + limits.shutdown().taking(), () -> {
                 closed = true;
                 whenDone = done;
             });
-            timers.at(now + limits.stopAnswering(), this::answerAll);
+            timers.at(now + limits.shutdown().answering(), this::answerAll);
         });
     }
 
@@ -265,13 +228,13 @@
     // ---- Requests ----
 
     private void taken(Request r) {
-        long deadline = r.takenAt() + r.patience() - limits.answerMargin();
+        long deadline = r.takenAt() + r.patience() - limits.routing().answerMargin();
         // While stopping, what comes once no more is taken must not keep the program from its end.
-        String refusal = closed ? "this workload manager stops"
-                : open.size() >= limits.openRequests() ? "too many open requests" : null;
+        String refusal = closed ? STOPS
+                : open.size() >= limits.routing().openRequests() ? "too many open requests" : null;
         long comeBack = membership.comeBack(now);
         if (refusal != null || comeBack > 0) {
-            Answer answer = refusal != null ? Answer.refused(refusal, limits.retryAfter())
+            Answer answer = refusal != null ? Answer.refused(refusal, limits.routing().retryAfter())
                     : Answer.refused(NO_ENGINE, comeBack);
             trace.step("answered", r, "", now, answer.kind() + " " + answer.reason());
             r.front().answer(r, answer);
@@ -288,7 +251,7 @@
         byRequest.put(r, o);
         byClientId.put(r.id(), o);
         trace.step("taken", r, "", now, r.type());
-        timers.at(deadline + limits.answerMargin() / 2, () -> overdue(o));
+        timers.at(deadline + limits.routing().answerMargin() / 2, () -> overdue(o));
         boolean ordered = r.order() != null;
         tell(() -> control.request(moduleNow(), new ControlApi.Request(o.id, r.type(), "", ordered,
                 ordered ? r.order() : 0, Clock.toModule(Math.max(1, deadline - now)), Clock.toModule(r.work()),
@@ -297,9 +260,14 @@
 
     private void abandoned(Request r) {
         OpenRequest o = byRequest.get(r);
-        if (o != null) {
-            close(o);
-            tell(() -> control.abandoned(moduleNow(), o.id));
+        if (o == null) {
+            return;
+        }
+        close(o);
+        tell(() -> control.abandoned(moduleNow(), o.id));
+        if (o.detached && settings.permissions().cancel()) {
+            // The module has been told before, when what was out might still be answered.
+            List.copyOf(o.out).forEach(attempt -> timers.at(now, () -> giveUp(attempt, End.CANCELLED)));
         }
     }
 
@@ -310,7 +278,7 @@
         }
         o.detached = true;
         if (o.out.isEmpty()) {
-            answer(o, unserved(o, "its client sends no more"));
+            answer(o, o.unserved("its client sends no more", limits.routing().retryAfter()));
         }
         tell(() -> control.abandoned(moduleNow(), o.id));
     }
@@ -318,17 +286,11 @@
     /** Answers all that is open: the process may be killed soon. */
     private void answerAll() {
         for (OpenRequest o : List.copyOf(byRequest.values())) {
-            answer(o, unserved(o, "this workload manager stops"));
+            answer(o, o.unserved(STOPS, limits.routing().retryAfter()));
             tell(() -> control.abandoned(moduleNow(), o.id));
         }
     }
 
-    /** The answer to a request that ends without rows: refused only if it surely never ran. */
-    private Answer unserved(OpenRequest o, String reason) {
-        return o.mayHaveRun || !o.out.isEmpty() ? Answer.failed(reason, o.late)
-                : Answer.refused(reason, limits.retryAfter());
-    }
-
     /** Guards the rule of one answer in time, should the module have missed it. */
     private void overdue(OpenRequest o) {
         if (!o.answered) {
@@ -368,12 +330,11 @@
             return;
         }
         OpenRequest o = ended.owner;
-        o.out.remove(a);
+        o.ended(a, result.end());
         a.unwanted();
         trace.step("ended", o.request, a.engine(), now, a.number() + " " + result.end());
         if (ended.engine != null) {
-            ended.engine.attemptsOut--;
-            closeIfGone(ended.engine);
+            engines.attemptEnded(ended.engine);
         }
         if (result.end() == End.OK || result.end() == End.FULL || result.end() == End.ERROR) {
             seen(a.engine(), Evidence.WORK_SERVED);
@@ -381,10 +342,9 @@
         if (result.end() == End.OK) {
             answer(o, Answer.served(result.rows()));
         }
-        o.late |= result.end() == End.TIMEOUT;
-        o.mayHaveRun |= mayHaveRun(result.end());
         if (o.detached && o.out.isEmpty()) {
-            answer(o, unserved(o, "the engines failed it, and its client sends no more"));
+            answer(o, o.unserved("the engines failed it, and its client sends no more",
+                    limits.routing().retryAfter()));
         }
         boolean last = o.answered;
         forgetIfOver(o);
@@ -392,10 +352,6 @@
                 Clock.toModule(now - a.sentAt()), last, Clock.toModule(result.work()), result.memory(), Load.NONE)));
     }
 
-    private static boolean mayHaveRun(End end) {
-        return end != End.NOT_SENT && end != End.FULL && end != End.CONNECT_FAILED;
-    }
-
     /**
      * Ends an attempt from this side. The engine must be told: until then it counts as out, and a load that follows
      * it on its key would break the order.
@@ -403,7 +359,7 @@
     private void giveUp(Attempt a, End how) {
         Out given = out.get(a);
         if (given != null) {
-            given.engine.link.giveUp(a);
+            given.engine.link().giveUp(a);
             end(a, Attempt.Result.of(how));
         }
     }
@@ -411,7 +367,7 @@
     @Override
     public void send(String id, String engineId, long timeout) {
         OpenRequest o = open.get(id);
-        Engine engine = engines.get(engineId);
+        EngineRegistry.Entry engine = engines.get(engineId);
         if (o == null) {
             return;
         }
@@ -420,13 +376,13 @@
         o.attempts.add(a);
         o.out.add(a);
         if (engine != null) {
-            engine.attemptsOut++;
+            engine.attemptBegan();
         }
         out.put(a, new Out(o, engine));
         trace.step("sent", o.request, engineId, now, Integer.toString(a.number()));
         if (o.answered || o.detached || engine == null || endsAt <= now) {
             timers.at(now, () -> end(a, Attempt.Result.of(End.NOT_SENT)));
-        } else if (engine.link.send(a)) {
+        } else if (engine.link().send(a)) {
             timers.at(endsAt, () -> giveUp(a, End.TIMEOUT));
         } else {
             timers.at(now, () -> end(a, Attempt.Result.of(End.FULL)));
@@ -436,7 +392,8 @@
     @Override
     public void cancel(String id, int number) {
         OpenRequest o = open.get(id);
-        if (o == null || o.detached && !o.answered || number >= o.attempts.size() || !o.out.contains(o.attempts.get(number))) {
+        boolean isOut = o != null && number < o.attempts.size() && o.out.contains(o.attempts.get(number));
+        if (!isOut || o.detached && !o.answered) {
             return;
         }
         Attempt a = o.attempts.get(number);
@@ -452,7 +409,7 @@
         o.priority = priority;
         for (Attempt a : o.out) {
             if (out.get(a).engine != null) {
-                out.get(a).engine.link.prioritise(a, priority);
+                out.get(a).engine.link().prioritise(a, priority);
             }
         }
     }
@@ -461,7 +418,7 @@
     public void refuse(String id, long retryAfter) {
         OpenRequest o = open.get(id);
         if (o != null) {
-            long wait = retryAfter > 0 ? Clock.fromModule(retryAfter) : limits.retryAfter();
+            long wait = retryAfter > 0 ? Clock.fromModule(retryAfter) : limits.routing().retryAfter();
             answer(o, Answer.refused("refused: it would not be served in time", wait));
         }
     }
@@ -470,7 +427,7 @@
     public void fail(String id) {
         OpenRequest o = open.get(id);
         if (o != null) {
-            answer(o, Answer.failed(o.late ? "no answer in time" : "the engines failed it", o.late));
+            answer(o, Answer.failed(o.hasTimedOut() ? "no answer in time" : "the engines failed it", o.hasTimedOut()));
         }
     }
 
@@ -481,12 +438,12 @@
 
     @Override
     public void probe(String engineId) {
-        Engine engine = engines.get(engineId);
+        EngineRegistry.Entry engine = engines.get(engineId);
         if (engine == null) {
             return;
         }
         long askedAt = now;
-        boolean left = engine.link.probe(report -> actor.put(() -> probed(engineId, askedAt, report)));
+        boolean left = engine.link().probe(report -> actor.put(() -> probed(engineId, askedAt, report)));
         if (!left) {
             timers.at(now, () -> probed(engineId, askedAt, null));
         }
@@ -521,16 +478,7 @@
 
     private void list(boolean whole, List<ListedEngine> told) {
         List<ListedEngine> entries = membership.told(now, whole, told);
-        if (whole) {
-            Set<String> named = new HashSet<>();
-            entries.forEach(entry -> named.add(entry.id()));
-            for (Engine engine : List.copyOf(engines.values())) {
-                if (!named.contains(engine.listed.id())) {
-                    become(engine, engine.listed.as(Listed.GONE));
-                }
-            }
-        }
-        entries.forEach(this::reach);
+        engines.update(now, whole, entries);
         offer(whole, entries);
         if (membership.takeUrgent()) {
             keeper.keep(membership.view(now), true);
@@ -541,7 +489,7 @@
         List<ListedEngine> offers = membership.restore(now, kept);
         if (!offers.isEmpty()) {
             // The links go by the list; what may be offered on them is told to the module alone.
-            kept.stream().map(Remembered::engine).forEach(this::reach);
+            engines.update(now, false, kept.stream().map(Remembered::engine).toList());
             offer(false, offers);
         }
     }
@@ -597,43 +545,4 @@
         keeper.keep(membership.view(now), false);
         timers.at(now + keeper.every(), this::keepAgain);
     }
-
-    /** Sets up the way to an engine, or brings it in line with its entry. */
-    private void reach(ListedEngine entry) {
-        Engine known = engines.get(entry.id());
-        if (known != null && !known.listed.address().equals(entry.address())) {
-            // The same name at another address is reached by another way; the old one ends.
-            engines.remove(entry.id());
-            known.link.close();
-            known = null;
-        }
-        if (known != null) {
-            become(known, entry);
-        } else if (entry.listed() != Listed.GONE) {
-            Engine engine = new Engine(entry, links.apply(entry, this));
-            engines.put(entry.id(), engine);
-            become(engine, entry);
-        }
-    }
-
-    private void become(Engine engine, ListedEngine entry) {
-        boolean was = engine.listed.listed() == Listed.READY;
-        if (entry.startedAt() > engine.listed.startedAt()) {
-            engine.link.renew();
-        }
-        engine.listed = entry;
-        if (entry.listed() == Listed.READY) {
-            engine.link.lastSend(Long.MAX_VALUE);
-        } else if (was) {
-            engine.link.lastSend(now + limits.drainGrace());
-        }
-        closeIfGone(engine);
-    }
-
-    private void closeIfGone(Engine engine) {
-        if (engine.listed.listed() == Listed.GONE && engine.attemptsOut == 0
-                && engines.remove(engine.listed.id(), engine)) {
-            engine.link.close();
-        }
-    }
 }
--- a/src/main/java/cairnline/routing/EngineList.java
+++ b/src/main/java/cairnline/routing/EngineList.java
@@ -12,7 +12,8 @@
     /** A list without engines. */
     public EngineList(Core core, Limits limits, Clock clock) {
         this.core = core;
-        this.actor = new Actor("list", limits.peerMailbox(), limits.peerMailbox(), limits.coreStack(), clock, this);
+        int mailbox = limits.connections().mailbox();
+        this.actor = new Actor("list", mailbox, mailbox, limits.routing().stackBytes(), clock, this);
     }
 
     /** Starts its thread. */
--- a/src/main/java/cairnline/settings/Expr.java
+++ b/src/main/java/cairnline/settings/Expr.java
@@ -19,6 +19,7 @@
 
     /** One of the types that the language knows. */
     record Type(Place place, Kind kind) implements Expr {
+        /** The types. */
         enum Kind { STRING, INT, NUMBER, BOOL, NULL, DURATION, SIZE, ANY }
 
         @Override
--- a/src/main/java/cairnline/settings/Quantity.java
+++ b/src/main/java/cairnline/settings/Quantity.java
@@ -11,6 +11,7 @@
  * @param text as written
  */
 record Quantity(Kind kind, long amount, String text) implements Comparable<Quantity> {
+    /** What is measured. */
     enum Kind { DURATION, SIZE }
 
     private record Unit(Kind kind, long factor) { }
--- a/src/main/java/cairnline/settings/Source.java
+++ b/src/main/java/cairnline/settings/Source.java
@@ -241,7 +241,8 @@
             } else if (ESCAPES.containsKey(escape)) {
                 text.append(ESCAPES.get(escape));
             } else {
-                faults.add(new Fault(place(token), "", "\\" + escape + " in a text", "\\\" \\\\ \\/ \\b \\f \\n \\r \\t \\uXXXX"));
+                faults.add(new Fault(place(token), "", "\\" + escape + " in a text",
+                        "\\\" \\\\ \\/ \\b \\f \\n \\r \\t \\uXXXX"));
             }
         }
         return text.toString();
--- a/src/main/java/cairnline/transport/Allowance.java
+++ b/src/main/java/cairnline/transport/Allowance.java
@@ -55,15 +55,15 @@
 
     /** When the client must have moved on, if it last did so then. */
     long due(long lastRead) {
-        return Math.min(lastRead + limits.clientIdle(), owed());
+        return Math.min(lastRead + limits.clients().idle(), owed());
     }
 
     /** When a message is owed. */
     private long owed() {
         if (partialSince > 0) {
-            return partialSince + limits.wholeMessage();
+            return partialSince + limits.clients().wholeMessage();
         }
-        return asked ? Long.MAX_VALUE : since + limits.firstMessage();
+        return asked ? Long.MAX_VALUE : since + limits.clients().firstMessage();
     }
 
     /** Whether a message is owed for too long. */
@@ -73,7 +73,7 @@
 
     /** Whether the client has been still for so long that it may go if it waits for nothing. */
     boolean isIdle(long now) {
-        return now - activeAt >= limits.clientIdle();
+        return now - activeAt >= limits.clients().idle();
     }
 
     boolean hasAsked() {
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -44,7 +44,7 @@
         this.channel = channel;
         this.front = front;
         this.peer = Peer.accepted(front.loop(), channel, front.limits(), this);
-        this.frames = new ClientFrames(front.limits().frame());
+        this.frames = new ClientFrames(front.limits().clients().frameBytes());
         this.allowance = new Allowance(front);
     }
 
@@ -165,7 +165,7 @@
 
     @Override
     public long due(long lastRead) {
-        return isDraining() ? lastRead + front.limits().clientIdle() : allowance.due(lastRead);
+        return isDraining() ? lastRead + front.limits().clients().idle() : allowance.due(lastRead);
     }
 
     @Override
@@ -262,9 +262,9 @@
             peer.send(say(stream, ClientFrames.CODE_REFUSED, "too much has begun and not ended"));
             return;
         }
-        if (openCount() >= front.limits().openPerClient()) {
+        if (openCount() >= front.limits().clients().openRequests()) {
             peer.send(say(stream, ClientFrames.CODE_REFUSED,
-                    "over " + front.limits().openPerClient() + " open requests"));
+                    "over " + front.limits().clients().openRequests() + " open requests"));
             return;
         }
         try {
@@ -273,7 +273,7 @@
         } catch (ProtocolException e) {
             peer.send(say(stream, ClientFrames.CODE_FAILED, e.getMessage()));
             faults++;
-            if (faults > front.limits().openPerClient()) {
+            if (faults > front.limits().clients().openRequests()) {
                 throw new ProtocolException("too many requests that can't be used");
             }
         }
--- a/src/main/java/cairnline/transport/FeedClient.java
+++ b/src/main/java/cairnline/transport/FeedClient.java
@@ -44,7 +44,7 @@
 
     /** Starts to follow. */
     public void start() {
-        Threads.startVital("feed", limits.coreStack(), this::follow);
+        Threads.startVital("feed", limits.routing().stackBytes(), this::follow);
     }
 
     /** From now on the feed is at this address; its numbers go on. */
@@ -63,7 +63,7 @@
             Socket opened = new Socket();
             at = use(opened);
             try (opened) {
-                opened.connect(at, (int) Clock.toMillis(limits.feedConnect()));
+                opened.connect(at, (int) Clock.toMillis(limits.feed().connect()));
                 opened.getOutputStream().write(("SUB " + list.last() + "\n").getBytes(StandardCharsets.US_ASCII));
                 read(opened, lost);
             } catch (IOException | RuntimeException e) {
@@ -92,9 +92,9 @@
 
     /** Waits before that address is asked again; not at all once there is another. */
     private synchronized boolean pause(InetSocketAddress asked) {
-        long until = clock.micros() + limits.feedPause();
+        long until = clock.micros() + limits.feed().pause();
         try {
-            for (long left = limits.feedPause(); left > 0 && asked.equals(address); left = until - clock.micros()) {
+            for (long left = limits.feed().pause(); left > 0 && asked.equals(address); left = until - clock.micros()) {
                 wait(Clock.toMillis(left));
             }
             return true;
@@ -110,18 +110,18 @@
         if (wasLost) {
             log.info("feed.reached", "control feed reached again");
         }
-        long silentAt = clock.micros() + limits.feedSilence();
+        long silentAt = clock.micros() + limits.feed().silence();
         for (int count = first(from, buffer); count >= 0; count = receive(from, buffer, silentAt)) {
             bytes.feed(buffer, 0, count);
             for (int end = bytes.indexOf('\n', searched); end >= 0; end = bytes.indexOf('\n', 0)) {
                 changed(FeedEvent.line(bytes.take(end)));
                 bytes.skip(1);
-                silentAt = clock.micros() + limits.feedSilence();
+                silentAt = clock.micros() + limits.feed().silence();
             }
             asked();
             searched = bytes.size();
-            if (searched > limits.feedLine()) {
-                throw new ProtocolException("a line is longer than " + limits.feedLine());
+            if (searched > limits.feed().lineBytes()) {
+                throw new ProtocolException("a line is longer than " + limits.feed().lineBytes());
             }
         }
         throw new IOException("it closed the connection");
@@ -130,7 +130,7 @@
     /** What the feed has to tell at once; nothing if it has nothing new, and tells that only with its next sign of life. */
     private int first(Socket from, byte[] buffer) throws IOException {
         try {
-            return receive(from, buffer, clock.micros() + limits.feedFirst());
+            return receive(from, buffer, clock.micros() + limits.feed().firstTold());
         } catch (SocketTimeoutException e) {
             return 0;
         }
--- a/src/main/java/cairnline/transport/HttpConnection.java
+++ b/src/main/java/cairnline/transport/HttpConnection.java
@@ -40,7 +40,7 @@
         this.core = core;
         this.limits = limits;
         this.peer = Peer.connecting(loop, limits, this);
-        this.answers = new HttpDecoder(limits.httpHead(), limits.httpBody());
+        this.answers = new HttpDecoder(limits.http().headBytes(), limits.http().bodyBytes());
     }
 
     void connect() {
@@ -154,7 +154,7 @@
         } catch (ProtocolException e) {
             good = false;
         }
-        if (!good || pageCount > limits.httpPages()) {
+        if (!good || pageCount > limits.http().pages()) {
             end(answer, Attempt.Result.of(End.ERROR));
         } else if (next != null && now.wanted() && !answer.closes()) {
             peer.send(withHost(HttpMessage.request("GET", next, Map.of("accept", "application/json"),
@@ -163,7 +163,7 @@
             end(answer, Attempt.Result.of(End.ERROR));
         } else {
             byte[] whole = pages.whole().bytes();
-            end(answer, whole.length > limits.httpBody() ? Attempt.Result.of(End.ERROR)
+            end(answer, whole.length > limits.http().bodyBytes() ? Attempt.Result.of(End.ERROR)
                     : new Attempt.Result(End.OK, whole, 0, 0));
         }
     }
@@ -191,7 +191,7 @@
 
     @Override
     public long due(long lastRead) {
-        return lastRead + limits.idle();
+        return lastRead + limits.engines().idle();
     }
 
     /** Decides and marks in one step, so that no attempt starts on a connection about to close. */
--- a/src/main/java/cairnline/transport/HttpLink.java
+++ b/src/main/java/cairnline/transport/HttpLink.java
@@ -18,7 +18,7 @@
     /** A link without a connection. */
     public HttpLink(InetSocketAddress address, Core core, Limits limits, EventLoop loop,
                     ConnectionBudget<Connection> budget) {
-        super(limits.httpConnections(), budget, loop.clock());
+        super(limits.http().connections(), budget, loop.clock());
         this.address = address;
         this.core = core;
         this.limits = limits;
--- a/src/main/java/cairnline/transport/Listener.java
+++ b/src/main/java/cairnline/transport/Listener.java
@@ -212,7 +212,7 @@
 
     /** Ends the connection that is missed least: one that has asked nothing before others, then the longest idle. */
     private boolean madeRoom() {
-        long newest = clock.micros() - limits.evictable();
+        long newest = clock.micros() - limits.clients().evictableAfter();
         List<Session> idle = sessions.stream().filter(session -> session.idleSince() <= newest)
                 .sorted(Comparator.comparing(Session::hasAsked).thenComparingLong(Session::idleSince)).toList();
         for (Session session : idle) {
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -48,7 +48,7 @@
         this.channel = channel;
         this.front = front;
         this.peer = Peer.accepted(front.loop(), channel, front.limits(), this);
-        this.requests = new HttpDecoder(front.limits().httpHead(), front.limits().httpBody());
+        this.requests = new HttpDecoder(front.limits().http().headBytes(), front.limits().http().bodyBytes());
         this.allowance = new Allowance(front);
     }
 
@@ -145,7 +145,7 @@
 
     @Override
     public long due(long lastRead) {
-        return inputOver ? lastRead + front.limits().clientIdle() : allowance.due(lastRead);
+        return inputOver ? lastRead + front.limits().clients().idle() : allowance.due(lastRead);
     }
 
     @Override
@@ -179,7 +179,7 @@
 
     private byte[] arrived(Arrival arrival) {
         waiting.addLast(arrival);
-        if (waiting.size() > front.limits().openPerClient()) {
+        if (waiting.size() > front.limits().clients().openRequests()) {
             waiting.removeLast();
             unanswered.decrementAndGet();
             endInput(ODataModel.error(429, "too many requests wait on this connection"));
@@ -202,7 +202,7 @@
                 return answer(request, known);
             }
             if (path(request).equals("/$batch")) {
-                ODataBatch batch = ODataBatch.read(request, front.limits().batch());
+                ODataBatch batch = ODataBatch.read(request, front.limits().http().batchRequests());
                 new ODataBatchRun(batch, this, arrival.at()).start(whole -> answered(request, whole));
                 return null;
             }
--- a/src/main/java/cairnline/transport/Peer.java
+++ b/src/main/java/cairnline/transport/Peer.java
@@ -154,7 +154,7 @@
         if (connected) {
             cameUp();
         } else {
-            timer = loop.schedule(clock.micros() + limits.connect(), this,
+            timer = loop.schedule(clock.micros() + limits.connections().connect(), this,
                     () -> unreachable(new SocketTimeoutException("no connection in time")));
         }
     }
@@ -188,7 +188,7 @@
 
     /** Leaves a letter unless the connection is over or too many wait. */
     boolean ask(Letter letter) {
-        if (waiting.get() >= limits.peerMailbox()) {
+        if (waiting.get() >= limits.connections().mailbox()) {
             return false;
         }
         return offer(letter);
@@ -405,7 +405,7 @@
 
     private void endOutput() throws IOException {
         channel.shutdownOutput();
-        lingerUntil = clock.micros() + limits.linger();
+        lingerUntil = clock.micros() + limits.connections().linger();
         if (inputEnded) {
             cause = "ended by both sides";
             end();
@@ -417,7 +417,7 @@
             return;
         }
         boolean paused = waiting.get() > LETTERS_BEFORE_PAUSE && current != null;
-        boolean reads = !inputEnded && !paused && ignoredBytes <= limits.lingerBytes();
+        boolean reads = !inputEnded && !paused && ignoredBytes <= limits.connections().ignoredBytes();
         if (!reads && unreadSince == 0) {
             unreadSince = clock.micros();
         }
@@ -441,7 +441,7 @@
     }
 
     private long due() {
-        long stalled = stalledSince == 0 ? Long.MAX_VALUE : stalledSince + limits.writeStall();
+        long stalled = stalledSince == 0 ? Long.MAX_VALUE : stalledSince + limits.connections().writeStall();
         long asked = finishing ? lingerUntil : handler.due(lastRead);
         return Math.min(stalled, asked);
     }
@@ -456,7 +456,7 @@
     }
 
     private void lookAgain(long now) {
-        if (stalledSince > 0 && now - stalledSince >= limits.writeStall()) {
+        if (stalledSince > 0 && now - stalledSince >= limits.connections().writeStall()) {
             closeNow("it takes nothing");
         } else if (now >= lingerUntil) {
             closeNow("not ended by the other side in time");
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -13,7 +13,6 @@
 import cairnline.routing.Request;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -22,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * One connection to an engine. Its maps are shared by the core's thread, the writer and the reader, under its lock;
@@ -43,7 +43,7 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > limits.openRequests();
+            return size() > limits.routing().openRequests();
         }
     };
     private final Map<String, Probe> probes = new HashMap<>();
@@ -61,7 +61,7 @@
         this.core = core;
         this.limits = limits;
         this.peer = Peer.connecting(loop, limits, this);
-        this.answers = new Resp(ANSWER_PARTS, limits.part());
+        this.answers = new Resp(ANSWER_PARTS, limits.engines().partBytes());
         this.heardAt = loop.clock().micros();
     }
 
@@ -130,7 +130,7 @@
 
     /** Whether a request with this id may start here; the id stays taken until its engine has answered. */
     synchronized boolean hasRoom(String id) {
-        return !over && exchanges.size() < limits.engineStreams() && !exchanges.containsKey(id)
+        return !over && exchanges.size() < limits.engines().streams() && !exchanges.containsKey(id)
                 && !undone.containsKey(id);
     }
 
@@ -322,7 +322,7 @@
             // A second copy takes nothing from the first.
             return;
         }
-        if (pages < 1 || pages > limits.pages()) {
+        if (pages < 1 || pages > limits.engines().pages()) {
             throw new ProtocolException("an answer of " + pages + " pages");
         }
         exchange.pages = new byte[pages][];
@@ -358,13 +358,13 @@
 
     /** Keeps a page; the answer is whole only with the last of them, in their order. */
     private void put(Exchange exchange, int page, byte[] rows) {
-        if (rows.length > limits.page() || !EngineMessage.isRows(rows)) {
+        if (rows.length > limits.engines().pageBytes() || !EngineMessage.isRows(rows)) {
             throw new ProtocolException("page " + page + " holds what are no rows");
         }
         exchange.pages[page] = rows;
         exchange.missing = page == 0 ? exchange.pages.length - 1 : exchange.missing - 1;
         exchange.size += rows.length;
-        if (exchange.size > limits.result()) {
+        if (exchange.size > limits.engines().resultBytes()) {
             forget(exchange, Attempt.Result.of(End.ERROR));
         } else if (exchange.missing == 0) {
             ByteArrayOutputStream whole = new ByteArrayOutputStream(exchange.size);
@@ -407,7 +407,8 @@
 
     @Override
     public long due(long lastRead) {
-        return lastRead + (answers.partial() ? limits.partialAnswer() : Math.min(limits.idle(), limits.silence()));
+        long usual = Math.min(limits.engines().idle(), limits.engines().silence());
+        return lastRead + (answers.partial() ? limits.engines().partialAnswer() : usual);
     }
 
     /**
@@ -418,10 +419,10 @@
     public synchronized boolean quiet(long now) {
         long still = now - Math.max(askedAt, heardAt);
         boolean idle = exchanges.isEmpty() && probes.isEmpty();
-        if (answers.partial() || !idle && still >= limits.silence()) {
+        if (answers.partial() || !idle && still >= limits.engines().silence()) {
             seen = Evidence.SILENCE;
         }
-        over |= answers.partial() || still >= (idle ? limits.idle() : limits.silence());
+        over |= answers.partial() || still >= (idle ? limits.engines().idle() : limits.engines().silence());
         return !over;
     }
 
@@ -439,6 +440,11 @@
             exchanges.clear();
             probes.clear();
         }
+        if (!out.isEmpty()) {
+            link.log().info("engine.left", "connection ended with attempts out", "engine", link.engine(), "cause",
+                    peer.cause(), "out", out.stream().map(exchange -> exchange.attempt.request().id())
+                            .collect(Collectors.joining(" ")));
+        }
         if (told != null) {
             core.witnessed(link.engine(), told);
         }
--- a/src/main/java/cairnline/transport/RespLink.java
+++ b/src/main/java/cairnline/transport/RespLink.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.logs.Events;
 import cairnline.pools.ConnectionBudget;
 import cairnline.routing.Attempt;
 import cairnline.routing.Core;
@@ -15,22 +16,28 @@
     private final Core core;
     private final Limits limits;
     private final EventLoop loop;
+    private final Events log;
 
     /** A link without a connection to the engine with this id. */
     public RespLink(String engine, InetSocketAddress address, Core core, Limits limits, EventLoop loop,
-                    ConnectionBudget<Connection> budget) {
-        super(limits.engineConnections(), budget, loop.clock());
+                    ConnectionBudget<Connection> budget, Events log) {
+        super(limits.engines().connectionsEach(), budget, loop.clock());
         this.engine = engine;
         this.address = address;
         this.core = core;
         this.limits = limits;
         this.loop = loop;
+        this.log = log;
     }
 
     String engine() {
         return engine;
     }
 
+    Events log() {
+        return log;
+    }
+
     @Override
     public boolean send(Attempt attempt) {
         RespConnection connection = connection(attempt.request().id());
@@ -42,7 +49,7 @@
      * same id, could be taken for the answer to this one.
      */
     private RespConnection connection(String id) {
-        return connection(known -> known.hasRoom(id), RespConnection::load, limits.streamsSpread(), () -> {
+        return connection(known -> known.hasRoom(id), RespConnection::load, limits.engines().streamsSpread(), () -> {
             RespConnection opened = new RespConnection(this, core, limits, loop);
             opened.connect(address);
             return opened;
--- a/src/main/java/cairnline/transport/SocketFront.java
+++ b/src/main/java/cairnline/transport/SocketFront.java
@@ -62,7 +62,7 @@
      * where hundreds of them together would fill the memory.
      */
     boolean hold(long bytes) {
-        return openBytes.addAndGet(bytes) <= limits.openBytes();
+        return openBytes.addAndGet(bytes) <= limits.clients().heldBytes();
     }
 
     boolean isStopping() {
--- a/src/main/java/cairnline/transport/StandInEngine.java
+++ b/src/main/java/cairnline/transport/StandInEngine.java
@@ -31,7 +31,7 @@
 
     private final class Session implements Listener.Session, Peer.Handler {
         private final Peer peer;
-        private final HttpDecoder requests = new HttpDecoder(limits.httpHead(), limits.httpBody());
+        private final HttpDecoder requests = new HttpDecoder(limits.http().headBytes(), limits.http().bodyBytes());
         private Runnable whenEnded = () -> { };
 
         Session(SocketChannel channel) {
@@ -81,7 +81,7 @@
 
         @Override
         public long due(long lastRead) {
-            return lastRead + limits.idle();
+            return lastRead + limits.engines().idle();
         }
 
         @Override
--- a/src/test/java/cairnline/program/FirstAskTest.java
+++ b/src/test/java/cairnline/program/FirstAskTest.java
@@ -14,13 +14,11 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.lang.reflect.RecordComponent;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -44,13 +42,12 @@
     }
 
     /** The program's limits, but for the time that a feed has to tell what it has. */
-    private Limits limits(long feedFirst) throws ReflectiveOperationException {
-        List<Object> values = new ArrayList<>();
-        for (RecordComponent each : Limits.class.getRecordComponents()) {
-            values.add(each.getName().equals("feedFirst") ? (Object) feedFirst
-                    : each.getAccessor().invoke(configuration.limits()));
-        }
-        return (Limits) Limits.class.getDeclaredConstructors()[0].newInstance(values.toArray());
+    private Limits limits(long firstTold) {
+        Limits usual = configuration.limits();
+        Limits.Feed feed = new Limits.Feed(usual.feed().connect(), usual.feed().pause(), usual.feed().silence(), firstTold,
+                usual.feed().lineBytes());
+        return new Limits(usual.routing(), usual.connections(), usual.clients(), usual.engines(), feed, usual.shutdown(),
+                usual.http());
     }
 
     /** A core that has a list and follows this feed. */
--- a/src/test/java/cairnline/program/ODataWire.java
+++ b/src/test/java/cairnline/program/ODataWire.java
@@ -45,7 +45,7 @@
     private synchronized EventLoop loop(Configuration configuration, Clock clock) {
         if (loop == null) {
             try {
-                loop = new EventLoop("connections", configuration.limits().coreStack(), clock);
+                loop = new EventLoop("connections", configuration.limits().routing().stackBytes(), clock);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
@@ -69,7 +69,7 @@
 
     @Override
     public int start(Core core, Configuration configuration, Clock clock) throws IOException {
-        Listener listener = new Listener(configuration.listen(), Math.min(mostClients, configuration.limits().clients()),
+        Listener listener = new Listener(configuration.listen(), Math.min(mostClients, configuration.limits().clients().connections()),
                 configuration.limits(), loop(configuration, clock), Events.NONE);
         front = new ODataFront(listener, core, MODEL, configuration.patience(), configuration.limits(), Events.NONE);
         front.start();
--- a/src/test/java/cairnline/program/PlatformWire.java
+++ b/src/test/java/cairnline/program/PlatformWire.java
@@ -45,7 +45,7 @@
     private synchronized EventLoop loop(Configuration configuration, Clock clock) {
         if (loop == null) {
             try {
-                loop = new EventLoop("connections", configuration.limits().coreStack(), clock);
+                loop = new EventLoop("connections", configuration.limits().routing().stackBytes(), clock);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
@@ -64,12 +64,12 @@
     @Override
     public EngineLink link(ListedEngine engine, Core core, Configuration configuration, Clock clock) {
         return new RespLink(engine.id(), Configuration.address("dial", engine.address()), core, configuration.limits(),
-                loop(configuration, clock), connections);
+                loop(configuration, clock), connections, Events.NONE);
     }
 
     @Override
     public int start(Core core, Configuration configuration, Clock clock) throws IOException {
-        Listener listener = new Listener(configuration.listen(), Math.min(mostClients, configuration.limits().clients()),
+        Listener listener = new Listener(configuration.listen(), Math.min(mostClients, configuration.limits().clients().connections()),
                 configuration.limits(), loop(configuration, clock), Events.NONE);
         front = new ClientFront(listener, core, configuration.classes(), configuration.limits(), Events.NONE);
         front.start();
--- a/src/test/java/cairnline/program/ReadersTest.java
+++ b/src/test/java/cairnline/program/ReadersTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
+import cairnline.logs.Events;
 import cairnline.pools.ConnectionBudget;
 import cairnline.protocol.Resp;
 import cairnline.routing.Clock;
@@ -40,18 +41,18 @@
         Limits limits = configuration.limits();
         Clock clock = new Clock();
         LinkedBlockingQueue<Map<String, Double>> reports = new LinkedBlockingQueue<>();
-        ConnectionBudget<PooledLink.Connection> connections = new ConnectionBudget<>(ENGINES, limits.idle());
+        ConnectionBudget<PooledLink.Connection> connections = new ConnectionBudget<>(ENGINES, limits.engines().idle());
         Core core = new Core(configuration.settings(), configuration.seed(), limits, clock, line -> { },
                 (engine, owner) -> null);
         List<Socket> accepted = new ArrayList<>();
-        try (EventLoop loop = new EventLoop("connections", limits.coreStack(), clock);
+        try (EventLoop loop = new EventLoop("connections", limits.routing().stackBytes(), clock);
                 ServerSocket engine = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
             InetSocketAddress address = new InetSocketAddress("127.0.0.1", engine.getLocalPort());
             loop.start();
             int threads = Thread.activeCount();
             List<EngineLink> links = new ArrayList<>();
             for (int i = 0; i < ENGINES; i++) {
-                EngineLink link = new RespLink("e" + i, address, core, limits, loop, connections);
+                EngineLink link = new RespLink("e" + i, address, core, limits, loop, connections, Events.NONE);
                 links.add(link);
                 link.probe(reports::add);
                 Socket socket = engine.accept();
--- a/src/test/java/cairnline/transport/ListenerTest.java
+++ b/src/test/java/cairnline/transport/ListenerTest.java
@@ -73,8 +73,8 @@
     /** What happens when the last of these comes and there is room for the others alone. */
     private List<String> last(Stub... stubs) throws Exception {
         Clock clock = new Clock();
-        Limits limits = TestLimits.allOf(1 << 16, "", 0);
-        EventLoop loop = new EventLoop("test", limits.coreStack(), clock);
+        Limits limits = TestLimits.allOf(1 << 16, 1 << 16);
+        EventLoop loop = new EventLoop("test", limits.routing().stackBytes(), clock);
         loop.start();
         Listener listener = new Listener(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 stubs.length - 1, limits, loop, Events.NONE);
--- a/src/test/java/cairnline/transport/PeerTest.java
+++ b/src/test/java/cairnline/transport/PeerTest.java
@@ -69,7 +69,7 @@
 
     @BeforeEach
     void connect() throws Exception {
-        Limits limits = TestLimits.allOf(1 << 26, "peerMailbox", MAILBOX);
+        Limits limits = TestLimits.allOf(1 << 26, MAILBOX);
         server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
         loop = new EventLoop("test", 1 << 18, new Clock());
         loop.start();
@@ -199,11 +199,11 @@
     void aRefusedConnectionIsToldFromOneThatThisSystemCouldNotMake() throws Exception {
         int port = server.getLocalPort();
         server.close();
-        Peer refused = Peer.connecting(loop, TestLimits.allOf(1 << 26, "peerMailbox", MAILBOX), handler);
+        Peer refused = Peer.connecting(loop, TestLimits.allOf(1 << 26, MAILBOX), handler);
         refused.connect(new InetSocketAddress("127.0.0.1", port));
         assertEquals("unreachable REFUSED", event());
         assertEquals("ended false", event());
-        Peer unresolved = Peer.connecting(loop, TestLimits.allOf(1 << 26, "peerMailbox", MAILBOX), handler);
+        Peer unresolved = Peer.connecting(loop, TestLimits.allOf(1 << 26, MAILBOX), handler);
         unresolved.connect(InetSocketAddress.createUnresolved("unreadable", 0));
         assertEquals("unreachable LOCAL", event());
     }
--- a/src/test/java/cairnline/transport/TestLimits.java
+++ b/src/test/java/cairnline/transport/TestLimits.java
@@ -1,18 +1,30 @@
 package cairnline.transport;
 
 import cairnline.routing.Limits;
-import java.util.Arrays;
+import java.lang.reflect.RecordComponent;
 
 /** Limits for tests to which most of them do not matter. */
 final class TestLimits {
     private TestLimits() { }
 
-    /** All have one value, but for one that is named. */
-    static Limits allOf(int value, String name, int other) throws ReflectiveOperationException {
-        Object[] values = Arrays.stream(Limits.class.getRecordComponents()).map(component -> {
-            int own = component.getName().equals(name) ? other : value;
-            return component.getType() == int.class ? (Object) own : (Object) (long) own;
-        }).toArray();
-        return (Limits) Limits.class.getDeclaredConstructors()[0].newInstance(values);
+    /** All have one value, but for the mailbox of a connection. */
+    static Limits allOf(int value, int mailbox) throws ReflectiveOperationException {
+        Limits all = (Limits) filled(Limits.class, value);
+        Limits.Connections connections = new Limits.Connections(mailbox, value, value, value, value);
+        return new Limits(all.routing(), connections, all.clients(), all.engines(), all.feed(), all.shutdown(), all.http());
+    }
+
+    private static Object filled(Class<?> type, int value) throws ReflectiveOperationException {
+        if (type == int.class) {
+            return value;
+        } else if (type == long.class) {
+            return (long) value;
+        }
+        RecordComponent[] components = type.getRecordComponents();
+        Object[] values = new Object[components.length];
+        for (int i = 0; i < values.length; i++) {
+            values[i] = filled(components[i].getType(), value);
+        }
+        return type.getDeclaredConstructors()[0].newInstance(values);
     }
 }
