--- a/src/main/java/cairnline/program/ServeCommand.java
+++ b/src/main/java/cairnline/program/ServeCommand.java
@@ -26,12 +26,13 @@
 
     @Override
     public Integer call() throws Exception {
+        ReloadSignal reloadSignal = ReloadSignal.install();
         if (settings != null && odata != null) {
             throw new ParameterException(spec.commandLine(), "--settings and ODATA-FILE are one file, given once");
         }
         Configuration configuration = Configuration.read(System.getenv());
         Path file = settings != null ? settings : odata;
-        new Server(configuration, ServeSettings.read(file, odata != null, configuration)).run();
+        new Server(configuration, ServeSettings.read(file, odata != null, configuration)).run(reloadSignal);
         return 0;
     }
 }
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -92,12 +92,10 @@
     }
 
     /** Serves until the process is told to end. */
-    void run() throws InterruptedException {
+    void run(ReloadSignal reloadSignal) throws InterruptedException {
         Thread.setDefaultUncaughtExceptionHandler(new Faults(clock, System.err, Runtime.getRuntime()::halt));
         // A shutdown hook, since SIGTERM must end in exit code 0 with all that was taken answered.
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
-        // Before anything is served: the JVM ends on SIGHUP where nobody handles it.
-        Signals.handle("HUP", this::reload);
         log.start();
         loop.start();
         if (keeper != null) {
@@ -110,6 +108,7 @@
         if (odata != null) {
             odata.start();
         }
+        reloadSignal.answerBy(this::reload);
         stopped.await();
     }
 
