Pages of an answer in a class of their own (PagedResult)

No change of behaviour but one: an answer whose further pages nobody wants now keeps its id taken on that connection, as other attempts do that may still be answered there.

--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -4,6 +4,7 @@
 import cairnline.control.ControlApi.NoteKind;
 import cairnline.membership.Evidence;
 import cairnline.protocol.EngineMessage;
+import cairnline.protocol.PagedResult;
 import cairnline.protocol.ProtocolException;
 import cairnline.protocol.Resp;
 import cairnline.routing.Attempt;
@@ -11,7 +12,6 @@
 import cairnline.routing.Core;
 import cairnline.routing.Limits;
 import cairnline.routing.Request;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -68,16 +68,12 @@
     /** An attempt on this connection, with the pages that have come. */
     private static final class Exchange {
         final Attempt attempt;
+        final PagedResult result;
         boolean written;
-        /** What has come of each page; null before the engine has told how many there are. */
-        byte[][] pages;
-        int missing;
-        int size;
-        long work;
-        double memory;
-
-        Exchange(Attempt attempt) {
+
+        Exchange(Attempt attempt, PagedResult result) {
             this.attempt = attempt;
+            this.result = result;
         }
     }
 
@@ -135,7 +131,8 @@
     }
 
     boolean start(Attempt attempt) {
-        Exchange exchange = new Exchange(attempt);
+        Exchange exchange = new Exchange(attempt,
+                new PagedResult(limits.engines().pageBytes(), limits.engines().pages()));
         String id = attempt.request().id();
         synchronized (this) {
             if (over) {
@@ -316,62 +313,39 @@
 
     /** Page 0 is there; all others are asked for at once, so that the answer waits for one way and back only. */
     private void first(Exchange exchange, EngineMessage message) {
-        String id = exchange.attempt.request().id();
-        int pages = message.pages();
-        if (exchange.pages != null) {
-            // A second copy takes nothing from the first.
+        if (!exchange.result.begin(message)) {
             return;
         }
-        if (pages < 1 || pages > limits.engines().pages()) {
-            throw new ProtocolException("an answer of " + pages + " pages");
-        }
-        exchange.pages = new byte[pages][];
-        exchange.work = message.workMicros();
-        exchange.memory = message.memory();
-        if (pages > 1 && !exchange.attempt.wanted()) {
+        boolean isPaged = exchange.result.count() > 1;
+        if (isPaged && !exchange.attempt.wanted()) {
             forget(exchange, Attempt.Result.of(End.OK));
             return;
         }
-        if (pages > 1) {
-            ByteArrayOutputStream commands = new ByteArrayOutputStream();
-            for (int page = 1; page < pages; page++) {
-                commands.writeBytes(Resp.words("page", id, Integer.toString(page)));
-            }
-            peer.send(commands.toByteArray());
+        if (isPaged) {
+            peer.send(exchange.result.requests(exchange.attempt.request().id()));
         }
         put(exchange, 0, message.body());
     }
 
+    /** A second copy of a page takes nothing from the first. */
     private void page(Exchange exchange, EngineMessage message) {
-        int page = message.page();
-        if (exchange.pages == null || page < 1 || page >= exchange.pages.length) {
-            throw new ProtocolException("page " + page + " was not asked for");
-        } else if (exchange.pages[page] != null) {
-            // A second copy takes nothing from the first.
+        if (!exchange.result.awaits(message.page())) {
             return;
-        } else if (!exchange.attempt.wanted()) {
-            forget(exchange, Attempt.Result.of(End.OK));
+        }
+        if (exchange.attempt.wanted()) {
+            put(exchange, message.page(), message.body());
         } else {
-            put(exchange, page, message.body());
+            forget(exchange, Attempt.Result.of(End.OK));
         }
     }
 
-    /** Keeps a page; the answer is whole only with the last of them, in their order. */
     private void put(Exchange exchange, int page, byte[] rows) {
-        if (rows.length > limits.engines().pageBytes() || !EngineMessage.isRows(rows)) {
-            throw new ProtocolException("page " + page + " holds what are no rows");
-        }
-        exchange.pages[page] = rows;
-        exchange.missing = page == 0 ? exchange.pages.length - 1 : exchange.missing - 1;
-        exchange.size += rows.length;
-        if (exchange.size > limits.engines().resultBytes()) {
+        PagedResult result = exchange.result;
+        result.put(page, rows);
+        if (result.size() > limits.engines().resultBytes()) {
             forget(exchange, Attempt.Result.of(End.ERROR));
-        } else if (exchange.missing == 0) {
-            ByteArrayOutputStream whole = new ByteArrayOutputStream(exchange.size);
-            for (byte[] each : exchange.pages) {
-                whole.writeBytes(each);
-            }
-            end(exchange, new Attempt.Result(End.OK, whole.toByteArray(), exchange.work, exchange.memory));
+        } else if (result.isWhole()) {
+            end(exchange, new Attempt.Result(End.OK, result.whole(), result.work(), result.memory()));
         }
     }
 
@@ -397,7 +371,7 @@
             if (!exchanges.remove(id, exchange)) {
                 return;
             }
-            if (result.end() != End.OK || exchange.missing > 0) {
+            if (result.end() != End.OK || !exchange.result.isWhole()) {
                 // A further attempt bears the same id: it must not meet here what may still come of this one.
                 undone.put(id, Boolean.TRUE);
             }
