--- a/src/main/java/cairnline/program/ManagerProcess.java
+++ b/src/main/java/cairnline/program/ManagerProcess.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /** A workload manager in a process of its own on a free loopback port; for trying, measuring and testing the whole. */
 final class ManagerProcess implements AutoCloseable {
@@ -101,6 +102,11 @@
         process.destroyForcibly().waitFor();
     }
 
+    /** Changes the text of its configuration, which counts from its next start or SIGHUP. */
+    void configure(UnaryOperator<String> change) throws IOException {
+        Files.writeString(config, change.apply(Files.readString(config)));
+    }
+
     /** Sends SIGHUP; a file that is spoilt first is as before when this returns. */
     void reload(boolean spoilt) throws IOException, InterruptedException {
         String whole = Files.readString(config);
--- a/src/test/java/cairnline/program/TerminationTest.java
+++ b/src/test/java/cairnline/program/TerminationTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -24,6 +25,8 @@
     private static final long LIMIT_S = 20;
     /** The longest deadline, counted as 3 s at most, and 0.7 s more. */
     private static final long EARLIEST_KILL_MS = 3_700;
+    private static final long SHORT_DEADLINE_MS = 500;
+    private static final long EARLIEST_KILL_SHORT_MS = SHORT_DEADLINE_MS + 700;
     private static final long CROSSING_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final EngineModel.Shape SHAPE = new EngineModel.Shape(16, 1, 1, false, 100, 1_000_000);
 
@@ -31,8 +34,13 @@
     Path folder;
 
     private ManagerProcess start(StandInFeed feed, String engine) throws Exception {
+        return start(feed, engine, UnaryOperator.identity());
+    }
+
+    private ManagerProcess start(StandInFeed feed, String engine, UnaryOperator<String> change) throws Exception {
         feed.tell(true, List.of(new StandInFeed.Host("s-1", engine, "in_service", 0)));
         ManagerProcess manager = new ManagerProcess(folder, 0, 1, feed.address(), null);
+        manager.configure(change);
         manager.start();
         Ready.await(manager.port(), LIMIT_S);
         return manager;
@@ -60,31 +68,45 @@
     void requestsOnOpenConnectionsAreAnsweredUntilTheKill() throws Exception {
         try (StandInFleet fleet = new StandInFleet(1); StandInFeed feed = new StandInFeed();
                 ManagerProcess manager = start(feed, fleet.address(0))) {
-            List<FrameClient> clients = new ArrayList<>();
-            for (int i = 0; i < 8; i++) {
-                clients.add(new FrameClient(manager.port()));
-                clients.get(i).ask("lookup", null, 5_000).code.get(LIMIT_S, TimeUnit.SECONDS);
-            }
-            manager.terminate();
-            manager.terminate();
-            manager.killAfter(EARLIEST_KILL_MS);
-            while (clients.stream().anyMatch(client -> !client.ended().isDone())) {
-                for (FrameClient client : clients) {
-                    askUnlessClosed(client);
-                }
-                TimeUnit.MILLISECONDS.sleep(1);
-            }
+            assertAnsweredUntilKilled(manager, EARLIEST_KILL_MS);
+            assertEquals(0, manager.awaitExit(LIMIT_S), manager.logged());
+        }
+    }
+
+    @Test
+    void requestsAreAnsweredUntilAKillThatShortDeadlinesBringForward() throws Exception {
+        try (StandInRespEngine hung = new StandInRespEngine(0, StandInRespEngine.Manner.SILENT, SHAPE, false, Map.of());
+                StandInFeed feed = new StandInFeed(); ManagerProcess manager = start(feed, hung.address(), text ->
+                        text.replaceAll("\"deadlineNs\": \\d+", "\"deadlineNs\": " + SHORT_DEADLINE_MS * 1_000_000))) {
+            assertAnsweredUntilKilled(manager, EARLIEST_KILL_SHORT_MS);
+            manager.awaitExit(LIMIT_S);
+        }
+    }
+
+    private static void assertAnsweredUntilKilled(ManagerProcess manager, long killMs) throws Exception {
+        List<FrameClient> clients = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            clients.add(new FrameClient(manager.port()));
+            clients.get(i).ask("lookup", null, 5_000).code.get(LIMIT_S, TimeUnit.SECONDS);
+        }
+        manager.terminate();
+        manager.terminate();
+        manager.killAfter(killMs);
+        while (clients.stream().anyMatch(client -> !client.ended().isDone())) {
             for (FrameClient client : clients) {
-                long closed = client.ended().get();
-                for (FrameClient.Call call : client.calls()) {
-                    boolean crossed = call.writtenAt == 0 || call.writtenAt > closed - CROSSING_NANOS;
-                    assertTrue(call.code.isDone() || crossed, () -> "not answered, written "
-                            + (closed - call.writtenAt) / 1_000 + " us before its connection ended");
-                    assertFalse(call.answers > 1, "a second answer");
-                }
-                client.close();
+                askUnlessClosed(client);
             }
-            assertEquals(0, manager.awaitExit(LIMIT_S), manager.logged());
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        for (FrameClient client : clients) {
+            long closed = client.ended().get();
+            for (FrameClient.Call call : client.calls()) {
+                boolean crossed = call.writtenAt == 0 || call.writtenAt > closed - CROSSING_NANOS;
+                assertTrue(call.code.isDone() || crossed, () -> "not answered, written "
+                        + (closed - call.writtenAt) / 1_000 + " us before its connection ended");
+                assertFalse(call.answers > 1, "a second answer");
+            }
+            client.close();
         }
     }
 
