Reset the pending wake-up once the selector was asked, before the loop sleeps

What callers saw: one play of PlatformWireTest#pagesThatNobodyWantsAreForgotten found an answer unread for 6 s. Cause: since the loop asks the selector without waiting first, which uses up a wake-up, while the mark that one is pending stayed set; a task left then gave no other, and the loop slept until its next timer. Change: the mark is reset between the two. Evidence: EventLoopTest#noTaskWaitsInALoopThatSleeps ended 125 of 120,000 tasks before, all of them now.

Also: a connection whose input is ignored is no longer read when its timer fires, and the listener takes all that wait before it stops. PeerTest#aPeerThatFloodsAfterTheLastWordIsLeft guards the first; it passed before the change too.

--- a/src/main/java/cairnline/transport/EventLoop.java
+++ b/src/main/java/cairnline/transport/EventLoop.java
@@ -129,7 +129,10 @@
         try {
             arrivedSince = polledAt;
             polledAt = clock.micros();
-            if (selector.selectNow() == 0) {
+            int ready = selector.selectNow();
+            // That has used up a wake-up: whoever leaves a task from here on must give another.
+            wakeupPending.set(false);
+            if (ready == 0) {
                 arrivedSince = polledAt;
                 await();
             }
--- a/src/main/java/cairnline/transport/Listener.java
+++ b/src/main/java/cairnline/transport/Listener.java
@@ -123,7 +123,7 @@
 
     @Override
     public void ready(SelectionKey ready) {
-        acceptWaiting();
+        acceptWaiting(ACCEPTS_PER_ROUND);
     }
 
     /** One connection that can't be served must not end the listener. */
@@ -132,8 +132,8 @@
         pauseAccepting(String.valueOf(cause));
     }
 
-    private void acceptWaiting() {
-        for (int i = 0; i < ACCEPTS_PER_ROUND; i++) {
+    private void acceptWaiting(int atMost) {
+        for (int i = 0; i < atMost; i++) {
             SocketChannel channel;
             try {
                 channel = nextWaiting();
@@ -249,7 +249,7 @@
     /** Stops listening and ends each connection once nothing is open on it; counts down when none is left. */
     void drain(CountDownLatch drained) {
         loop.execute(() -> {
-            acceptWaiting();
+            acceptWaiting(BACKLOG);
             close();
             whenEmpty = drained::countDown;
             Set.copyOf(sessions).forEach(Session::drain);
--- a/src/main/java/cairnline/transport/Peer.java
+++ b/src/main/java/cairnline/transport/Peer.java
@@ -448,8 +448,9 @@
 
     private void timedOut() {
         timer = null;
-        // What the system holds unread counts as come in time.
-        if (!readNow() && !over && clock.micros() >= due()) {
+        // What the system holds unread counts as come in time, where it is used at all.
+        boolean hasCome = !inputIgnored && !finishing && readNow();
+        if (!hasCome && !over && clock.micros() >= due()) {
             lookAgain(clock.micros());
         }
         rearm();
--- a/src/test/java/cairnline/transport/PeerTest.java
+++ b/src/test/java/cairnline/transport/PeerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cairnline.routing.Clock;
@@ -195,6 +196,24 @@
         assertEquals("ended true", event());
     }
 
+    @Test
+    void aPeerThatFloodsAfterTheLastWordIsLeft() throws Exception {
+        Limits limits = TestLimits.withLinger(TestLimits.allOf(1 << 26, MAILBOX), 1_000, 1);
+        Peer finishing = Peer.connecting(loop, limits, handler);
+        finishing.connect(new InetSocketAddress("127.0.0.1", server.getLocalPort()));
+        try (Socket flood = server.accept()) {
+            finishing.finish();
+            assertEquals(-1, flood.getInputStream().read());
+            byte[] block = new byte[1 << 16];
+            assertThrows(IOException.class, () -> {
+                while (true) {
+                    flood.getOutputStream().write(block);
+                }
+            });
+        }
+        assertEquals("ended true", event());
+    }
+
     @Test
     void aRefusedConnectionIsToldFromOneThatThisSystemCouldNotMake() throws Exception {
         int port = server.getLocalPort();
--- a/src/test/java/cairnline/transport/TestLimits.java
+++ b/src/test/java/cairnline/transport/TestLimits.java
@@ -14,6 +14,14 @@
         return new Limits(all.routing(), connections, all.clients(), all.engines(), all.feed(), all.shutdown(), all.http());
     }
 
+    /** The same with another time, in microseconds, and other bytes for a connection whose output has been ended. */
+    static Limits withLinger(Limits all, long linger, int ignoredBytes) {
+        Limits.Connections usual = all.connections();
+        Limits.Connections connections = new Limits.Connections(usual.mailbox(), linger, ignoredBytes, usual.writeStall(),
+                usual.connect());
+        return new Limits(all.routing(), connections, all.clients(), all.engines(), all.feed(), all.shutdown(), all.http());
+    }
+
     private static Object filled(Class<?> type, int value) throws ReflectiveOperationException {
         if (type == int.class) {
             return value;
