Stop at the first unreadable byte of an engine; take open requests of an ended client in one step

Found on reading the change again: on the event loop a connection that is closed may hand over one more chunk, which an engine connection went on to parse after its framing had broken; two steps between listing and clearing the open requests could give back the bytes of one twice; a session that can't be made left its channel open.

--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -139,7 +139,7 @@
     /** What follows can't be used. */
     private void stopReading(String problem) {
         long unfinished = frames.partialRequest();
-        front.log().warn("client.unreadable", problem, "peer", peer.address(), "open", openIds());
+        front.log().warn("client.unreadable", problem, "peer", peer.address(), "open", ids(openRequests()));
         peer.send(error(problem));
         if (unfinished > 0 && usedStreams.use(unfinished)) {
             peer.send(say(unfinished, ClientFrames.CODE_REFUSED, problem));
@@ -203,14 +203,10 @@
 
     @Override
     public void ended(boolean wasUp) {
-        List<Request> unanswered = openRequests();
+        List<Request> unanswered = takeOpen();
         if (!unanswered.isEmpty()) {
             front.log().info("client.left", "connection ended with requests open", "peer", peer.address(),
-                    "cause", peer.cause(), "open", openIds());
-        }
-        synchronized (this) {
-            draining = true;
-            open.clear();
+                    "cause", peer.cause(), "open", ids(unanswered));
         }
         unanswered.forEach(request -> front.hold(-request.statement().length));
         unanswered.forEach(front.core()::abandon);
@@ -222,8 +218,16 @@
         return List.copyOf(open.values());
     }
 
-    private String openIds() {
-        return openRequests().stream().map(Request::id).collect(Collectors.joining(" "));
+    /** The open requests, which no longer are: none of them can be answered any more. */
+    private synchronized List<Request> takeOpen() {
+        List<Request> taken = List.copyOf(open.values());
+        draining = true;
+        open.clear();
+        return taken;
+    }
+
+    private static String ids(List<Request> requests) {
+        return requests.stream().map(Request::id).collect(Collectors.joining(" "));
     }
 
     /** The request that was open on this stream, which no longer is; null if none was. */
--- a/src/main/java/cairnline/transport/HttpConnection.java
+++ b/src/main/java/cairnline/transport/HttpConnection.java
@@ -117,12 +117,18 @@
 
     @Override
     public void read(byte[] bytes, int count, long now) {
+        if (isOver()) {
+            return;
+        }
         try {
             answers.feed(bytes, count);
             for (HttpMessage answer = answers.next(); answer != null; answer = answers.next()) {
                 take(answer);
             }
         } catch (ProtocolException e) {
+            synchronized (this) {
+                over = true;
+            }
             close();
         }
     }
--- a/src/main/java/cairnline/transport/Listener.java
+++ b/src/main/java/cairnline/transport/Listener.java
@@ -175,7 +175,7 @@
     }
 
     private void admit(SocketChannel channel) {
-        Session session = open.apply(channel);
+        Session session = sessionOf(channel);
         if (sessions.size() >= most && !madeRoom()) {
             turnedAway++;
             report();
@@ -197,6 +197,15 @@
         }
     }
 
+    private Session sessionOf(SocketChannel channel) {
+        try {
+            return open.apply(channel);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            Threads.close(channel);
+            throw e;
+        }
+    }
+
     /** Since when a connection that is accepted now may have waited. */
     private long waitingSince() {
         return leftSince > 0 ? leftSince : loop.arrivedSince();
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -267,6 +267,9 @@
     @Override
     public void read(byte[] bytes, int count, long now) {
         synchronized (this) {
+            if (over) {
+                return;
+            }
             heardAt = now;
         }
         answers.feed(bytes, count);
