--- a/src/main/java/cairnline/transport/Listener.java
+++ b/src/main/java/cairnline/transport/Listener.java
@@ -24,6 +24,8 @@
     private static final int BACKLOG = 1_024;
     /** Connections accepted before others are served again. */
     private static final int ACCEPTS_PER_ROUND = 8;
+    /** So many calls in a row that give nothing show that nothing waits. */
+    private static final int CALLS_FOR_NONE = 4;
     private static final long RETRY_ACCEPT_MICROS = 10_000;
     private static final long REPORT_EVERY_MICROS = 1_000_000;
 
@@ -151,10 +153,13 @@
         leftSince = waitingSince();
     }
 
-    /** The next connection that waits; null if none does. An interrupted call gives null too, but hardly twice. */
+    /** The next connection that waits; null if none does. A call that was interrupted gives null too, and so is made again. */
     private SocketChannel nextWaiting() throws IOException {
-        SocketChannel channel = server.accept();
-        return channel != null ? channel : server.accept();
+        SocketChannel channel = null;
+        for (int i = 0; i < CALLS_FOR_NONE && channel == null; i++) {
+            channel = server.accept();
+        }
+        return channel;
     }
 
     private void pauseAccepting(String why) {
