--- a/src/test/java/cairnline/program/FaultProxy.java
+++ b/src/test/java/cairnline/program/FaultProxy.java
@@ -28,7 +28,6 @@
         HALF
     }
 
-    private static final int STACK = 256 * 1_024;
     private static final int PIECE = 7;
 
     private final int port;
@@ -66,28 +65,12 @@
         sockets.clear();
     }
 
-    private interface Task {
-        void run() throws IOException;
-    }
-
-    private static void daemon(Task task) {
-        Thread thread = new Thread(null, () -> {
-            try {
-                task.run();
-            } catch (IOException e) {
-                // One of the sides has ended it.
-            }
-        }, "fault proxy", STACK);
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private void accept(ServerSocket from) {
-        daemon(() -> {
+        Daemon.start("fault proxy", () -> {
             while (true) {
                 Socket near = from.accept();
                 sockets.add(near);
-                daemon(() -> serve(near));
+                Daemon.start("fault proxy", () -> serve(near));
             }
         });
     }
@@ -97,7 +80,7 @@
         sockets.add(far);
         near.setTcpNoDelay(true);
         far.setTcpNoDelay(true);
-        daemon(() -> pass(near, far, false));
+        Daemon.start("fault proxy", () -> pass(near, far, false));
         pass(far, near, true);
     }
 
--- a/src/test/java/cairnline/program/MemoryTest.java
+++ b/src/test/java/cairnline/program/MemoryTest.java
@@ -38,30 +38,14 @@
         private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
 
         LargeAnswers() throws IOException {
-            daemon(() -> {
+            Daemon.start("large answers", () -> {
                 while (true) {
                     Socket socket = server.accept();
-                    daemon(() -> serve(socket));
+                    Daemon.start("large answers", () -> serve(socket));
                 }
             });
         }
 
-        private interface Task {
-            void run() throws IOException;
-        }
-
-        private static void daemon(Task task) {
-            Thread thread = new Thread(null, () -> {
-                try {
-                    task.run();
-                } catch (IOException e) {
-                    // The other side, or close(), has ended it.
-                }
-            }, "large answers", 256 * 1_024);
-            thread.setDaemon(true);
-            thread.start();
-        }
-
         private static void serve(Socket socket) throws IOException {
             byte[] rows = new byte[PAGE];
             Arrays.fill(rows, (byte) 'x');
--- a/src/test/java/cairnline/program/PlatformWire.java
+++ b/src/test/java/cairnline/program/PlatformWire.java
@@ -9,12 +9,10 @@
 import cairnline.routing.EngineLink;
 import cairnline.membership.ListedEngine;
 import cairnline.transport.ClientFront;
-import cairnline.transport.EventLoop;
 import cairnline.transport.Listener;
 import cairnline.transport.PooledLink;
 import cairnline.transport.RespLink;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -29,7 +27,7 @@
     private final ConnectionBudget<PooledLink.Connection> connections = new ConnectionBudget<>(1_024, 20_000_000);
     private long lastStream;
     private final int mostClients;
-    private EventLoop loop;
+    private final TestLoop loop = new TestLoop();
     private ClientFront front;
 
     PlatformWire() {
@@ -41,36 +39,21 @@
         this.mostClients = mostClients;
     }
 
-    /** The loop of this wire; the first call starts it. */
-    private synchronized EventLoop loop(Configuration configuration, Clock clock) {
-        if (loop == null) {
-            try {
-                loop = new EventLoop("connections", configuration.limits().routing().stackBytes(), clock);
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-            loop.start();
-        }
-        return loop;
-    }
-
     @Override
     public void close() {
-        if (loop != null) {
-            loop.close();
-        }
+        loop.close();
     }
 
     @Override
     public EngineLink link(ListedEngine engine, Core core, Configuration configuration, Clock clock) {
         return new RespLink(engine.id(), Configuration.address("dial", engine.address()), core, configuration.limits(),
-                loop(configuration, clock), connections, Events.NONE);
+                loop.get(configuration, clock), connections, Events.NONE);
     }
 
     @Override
     public int start(Core core, Configuration configuration, Clock clock) throws IOException {
         Listener listener = new Listener(configuration.listen(), Math.min(mostClients, configuration.limits().clients().connections()),
-                configuration.limits(), loop(configuration, clock), Events.NONE);
+                configuration.limits(), loop.get(configuration, clock), Events.NONE);
         front = new ClientFront(listener, core, configuration.classes(), configuration.limits(), Events.NONE);
         front.start();
         return listener.port();
--- a/src/test/java/cairnline/program/RecordingEngine.java
+++ b/src/test/java/cairnline/program/RecordingEngine.java
@@ -1,6 +1,5 @@
 package cairnline.program;
 
-import cairnline.protocol.ProtocolException;
 import cairnline.protocol.Resp;
 import java.io.IOException;
 import java.io.InputStream;
@@ -57,7 +56,7 @@
         this.name = name;
         this.random = new Random(seed);
         server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        daemon(this::accept);
+        Daemon.start("recording engine", this::accept);
     }
 
     int port() {
@@ -73,26 +72,10 @@
         return List.copyOf(attempts);
     }
 
-    private interface Task {
-        void run() throws IOException;
-    }
-
-    private static void daemon(Task task) {
-        Thread thread = new Thread(null, () -> {
-            try {
-                task.run();
-            } catch (IOException | ProtocolException e) {
-                // The other side, or close(), has ended it.
-            }
-        }, "recording engine", STACK);
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private void accept() throws IOException {
         while (true) {
             Socket socket = server.accept();
-            daemon(() -> serve(socket));
+            Daemon.start("recording engine", () -> serve(socket));
         }
     }
 
