Let no client that floods hold up the event loop, at the orderly end and before

What callers saw: with one client that floods, requests of others, written 0.74 s before the process ended their connections, had no answer. Cause: both sessions read "while there is more" when the program ends, and a peer's letters were all written in one go, one call each: thousands of them kept the one thread.

--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -151,7 +151,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        clients.drain(limits.shutdown().draining());
+        clients.drain();
         if (odata != null) {
             odata.drain();
         }
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -96,9 +96,8 @@
 
     @Override
     public void drain() {
-        while (peer.readNow()) {
-            // What the system held unread is taken, and answered like all else.
-        }
+        // What the system held unread is taken, and answered like all else.
+        peer.readHeld();
         drainFrom();
     }
 
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -65,9 +65,8 @@
 
     @Override
     public void drain() {
-        while (peer.readNow()) {
-            // What the system held unread is taken, and answered like all else.
-        }
+        // What the system held unread is taken, and answered like all else.
+        peer.readHeld();
         endInput(null);
     }
 
