--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -19,11 +19,13 @@
     private final EngineList list;
     private final ODataFront front;
     private final Listener listener;
+    private final long drainMost;
     private final FeedClient feed;
 
     ODataServer(Configuration configuration, ODataConfiguration odata, EventLoop loop, Events log) throws IOException {
         var clock = loop.clock();
         var limits = configuration.limits();
+        drainMost = limits.shutdown().draining();
         ConnectionBudget<PooledLink.Connection> connections =
                 new ConnectionBudget<>(limits.engines().connections(), limits.engines().idle());
         // OData has no words for a load or for notes: their absence must not count as silence.
@@ -65,7 +67,7 @@
 
     /** Ends its connections in order. */
     void drain() {
-        front.drain();
+        front.drain(drainMost);
     }
 
     int port() {
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -151,7 +151,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        clients.drain();
+        clients.drain(limits.shutdown().draining());
         if (odata != null) {
             odata.drain();
         }
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -96,8 +96,9 @@
 
     @Override
     public void drain() {
-        // What the system held unread is taken, and answered like all else.
-        peer.readHeld();
+        while (peer.readNow()) {
+            // What the system held unread is taken, and answered like all else.
+        }
         drainFrom();
     }
 
--- a/src/main/java/cairnline/transport/Peer.java
+++ b/src/main/java/cairnline/transport/Peer.java
@@ -23,12 +23,8 @@
 final class Peer implements EventLoop.Handler {
     /** So many letters may wait before the peer is not read any more. */
     private static final int LETTERS_BEFORE_PAUSE = 64;
-    /** Letters written to one peer before others are served again. */
-    private static final int LETTERS_PER_ROUND = 64;
     /** Reads of one connection before others are served again. */
     private static final int READS_PER_ROUND = 8;
-    /** What the system holds for one connection is read in far less time. */
-    private static final long READ_HELD_MICROS = 10_000;
     /** What a channel's read gives at the end; other numbers below 0 stand for a call that was interrupted. */
     private static final int END_OF_INPUT = -1;
 
@@ -274,7 +270,6 @@
             for (int i = 0; i < READS_PER_ROUND && readNow(); i++) {
                 // A short read is no proof that there is no more.
             }
-            updateInterest();
             rearm();
         }
     }
@@ -295,15 +290,6 @@
         cameUp();
     }
 
-    /** Reads what the system holds now; what a peer that floods sends meanwhile is left. On the loop's thread. */
-    void readHeld() {
-        long until = clock.micros() + READ_HELD_MICROS;
-        boolean maybeMore = readNow();
-        while (maybeMore && clock.micros() < until) {
-            maybeMore = readNow();
-        }
-    }
-
     /** Reads once; false if nothing was there, which alone proves that all that had come was read. On the loop's thread. */
     boolean readNow() {
         if (over || !up || inputEnded) {
@@ -357,8 +343,7 @@
             return;
         }
         try {
-            int written = 0;
-            while (written < LETTERS_PER_ROUND && nextLetter()) {
+            while (nextLetter()) {
                 if (stalledSince > 0 && !currentLetter.isWanted()) {
                     closeNow("given up while a part of it was written");
                     return;
@@ -371,11 +356,8 @@
                 current = null;
                 stalledSince = 0;
                 waiting.decrementAndGet();
-                written++;
             }
-            if (written == LETTERS_PER_ROUND && !over) {
-                scheduleFlush();
-            } else if (finishing && current == null && !over && lingerUntil == Long.MAX_VALUE) {
+            if (finishing && current == null && !over && lingerUntil == Long.MAX_VALUE) {
                 endOutput();
             }
         } catch (IOException e) {
@@ -434,7 +416,7 @@
         if (over || !up) {
             return;
         }
-        boolean paused = waiting.get() > LETTERS_BEFORE_PAUSE;
+        boolean paused = waiting.get() > LETTERS_BEFORE_PAUSE && current != null;
         boolean reads = !inputEnded && !paused && ignoredBytes <= limits.connections().ignoredBytes();
         if (!reads && unreadSince == 0) {
             unreadSince = clock.micros();
--- a/src/main/java/cairnline/transport/SocketFront.java
+++ b/src/main/java/cairnline/transport/SocketFront.java
@@ -40,13 +40,13 @@
 
     /**
      * Ends all connections in order: what the system holds unread is read and answered, then the output is ended and the
-     * clients have time to end theirs. Waits for that, as long as the limits allow.
+     * clients have time to end theirs. Waits for that, this many microseconds at most.
      */
-    public void drain() {
+    public void drain(long most) {
         CountDownLatch drained = new CountDownLatch(1);
         listener.drain(drained);
         try {
-            drained.await(limits.shutdown().draining(), TimeUnit.MICROSECONDS);
+            drained.await(most, TimeUnit.MICROSECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
