Review case 3: an OData batch with one spoilt answer is never answered

Cause: encoding the batch's answer throws on a body that is no JSON, and the connection drops the message. Change: a case with batches of two lookups and a write, one answer of which is noise.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec ../common/run SpoiltBatch .
