Review case 3: clients at full speed keep all other clients waiting

Cause: a timer whose time has passed reads a flooding client's socket again and again within one round of the event loop.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && exec ../common/run SpoiltBatch .
+cd "$(dirname "$0")" && exec ../common/run Flood .
