Show that a burst of loads of one key crashes the workload manager

Cause: the end of a load refuses all hopeless loads of its key in one recursion (Control.finish, sendNextOfKey, decide, close); about 730 of them exhaust the stack of the dispatcher's thread, and the process exits with code 70. Change: review/1 sends 1,281 loads of one key from 41 connections beside a usual client. Nothing is fixed.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Writes record.txt (sent, answered, run) and the manager's log record-n1.log in this folder.
-cd "$(dirname "$0")" && exec ../common/run LargeStatements .
+cd "$(dirname "${BASH_SOURCE[0]}")" || exit 2
+exec ../common/run KeyBurst .
