--- a/review/2/KeptBuffers.java
+++ b/review/3/KeptBuffers.java
@@ -3,9 +3,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * Bad clients, one after another, each send one large request of a class that does not exist, read the answer and then say
+ * Bad clients, five at a time, each send one large request of a class that does not exist, read the answer and then say
  * nothing. Checks that the workload manager does not end, and that each request of the usual client gets one final answer.
  */
 final class KeptBuffers {
@@ -15,6 +16,7 @@
     private static final int BURST_AFTER_SECONDS = 3;
     /** A third of the 1,024 descriptors are 341; the usual client holds one more. */
     private static final int BAD_CLIENTS = 250;
+    private static final int SENDERS = 5;
     /** A frame of the greatest length, 262,144, after the four bytes that hold the length. */
     private static final int FRAME_BYTES = 4 + 262_144;
 
@@ -34,23 +36,12 @@
         Lab.Manager manager = lab.new Manager("n1", lab.configuration(feed), "");
         manager.start();
 
-        List<Lab.Client> badClients = new ArrayList<>();
+        List<Lab.Client> badClients = new CopyOnWriteArrayList<>();
         if (lab.trouble) {
-            Lab.start(() -> {
-                Thread.sleep(BURST_AFTER_SECONDS * 1_000L);
-                lab.note("the bad clients begin");
-                for (int i = 0; i < BAD_CLIENTS && manager.isAlive(); i++) {
-                    Lab.Client client = lab.new Client("bad" + i, manager.port);
-                    badClients.add(client);
-                    Lab.Sent request = client.prepare(1, 7_000);
-                    int fields = client.encode(request, "no-such-class", "").length;
-                    byte[] frame = client.encode(request, "no-such-class", "x".repeat(FRAME_BYTES - fields));
-                    request.writtenAt = lab.millis();
-                    client.write(frame);
-                    request.await();
-                }
-                lab.note("the bad clients have sent " + badClients.size() + " requests");
-            });
+            for (int i = 0; i < SENDERS; i++) {
+                int number = i;
+                Lab.start(() -> send(lab, manager, number, badClients));
+            }
         }
         Lab.Client usual = lab.new Client("usual", manager.port);
         List<Lab.Sent> sent = new ArrayList<>();
@@ -73,12 +64,29 @@
             }
         }
         lab.note("usual client: " + count(List.of(usual)) + ", lost " + lost);
-        lab.note("bad clients: " + count(List.copyOf(badClients)));
+        lab.note("bad clients: " + count(badClients));
         boolean ended = !manager.isAlive();
         lab.note(ended ? "THE WORKLOAD MANAGER HAS ENDED with exit code " + manager.process.exitValue() : "the workload manager runs");
         return ended || lost > 0 ? Lab.BROKEN : Lab.HELD;
     }
 
+    /** Sends the requests of some bad clients, one after another. */
+    private static void send(Lab lab, Lab.Manager manager, int number, List<Lab.Client> badClients) throws Exception {
+        Thread.sleep(BURST_AFTER_SECONDS * 1_000L);
+        lab.note("bad clients begin");
+        for (int i = 0; i < BAD_CLIENTS / SENDERS && manager.isAlive(); i++) {
+            Lab.Client client = lab.new Client("bad" + number + "-" + i, manager.port);
+            badClients.add(client);
+            Lab.Sent request = client.prepare(1, 7_000);
+            int fields = client.encode(request, "no-such-class", "").length;
+            byte[] frame = client.encode(request, "no-such-class", "x".repeat(FRAME_BYTES - fields));
+            request.writtenAt = lab.millis();
+            client.write(frame);
+            request.await();
+        }
+        lab.note("bad clients have sent their requests");
+    }
+
     private static Map<String, Integer> count(List<Lab.Client> clients) {
         Map<String, Integer> outcomes = new TreeMap<>();
         clients.forEach(client -> client.sent.values().forEach(request -> outcomes.merge(request.outcome(), 1, Integer::sum)));
