Let half of the second copies of the OData case come in two pieces

Need: with whole copies in one write the fault depends on which thread is first. A copy whose end comes some milliseconds late shows it each time, and the connection can still be known as unusable before the next request is written.

--- a/review/1/SecondCopy.java
+++ b/review/1/SecondCopy.java
@@ -28,6 +28,7 @@
     private static final int NOTE_BYTES = 40_000;
     /** One in so many good answers brings a second copy. */
     private static final int COPY_EVERY = 4;
+    private static final int LATE_MILLIS = 5;
 
     private final Lab lab;
     /** The engine that ran a change, by the tag in its body. */
@@ -99,14 +100,22 @@
             String body = "{\"ID\":1,\"Tag\":\"" + tag + "\",\"Note\":\"" + "n".repeat(NOTE_BYTES) + "\"}";
             byte[] answer = Lab.utf8("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nOData-Version: 4.01\r\n"
                     + "Content-Length: " + body.length() + "\r\n\r\n" + body);
-            ByteArrayOutputStream out = new ByteArrayOutputStream();
-            out.writeBytes(answer);
-            if (lab.trouble && answers.incrementAndGet() % COPY_EVERY == 0) {
-                out.writeBytes(answer);
-                copies.incrementAndGet();
-                lab.note(id + " sends a second copy right behind the answer to " + tag);
+            if (!lab.trouble || answers.incrementAndGet() % COPY_EVERY > 0) {
+                socket.getOutputStream().write(answer);
+                continue;
+            }
+            ByteArrayOutputStream twice = new ByteArrayOutputStream();
+            twice.writeBytes(answer);
+            twice.writeBytes(answer);
+            // Every other copy is there at once; of the others the end comes some milliseconds late, the beginning at once.
+            int atOnce = copies.incrementAndGet() % 2 == 0 ? twice.size() : answer.length + answer.length / 2;
+            lab.note(id + " sends a second copy right behind the answer to " + tag + ", "
+                    + (atOnce == twice.size() ? "in one piece" : "in two pieces"));
+            socket.getOutputStream().write(twice.toByteArray(), 0, atOnce);
+            if (atOnce < twice.size()) {
+                Thread.sleep(LATE_MILLIS);
+                socket.getOutputStream().write(twice.toByteArray(), atOnce, twice.size() - atOnce);
             }
-            socket.getOutputStream().write(out.toByteArray());
         }
     }
 
