--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 rm -rf build
 mkdir -p build
-javac -d build common/*.java [0-9]*/*.java
+javac -d build common/*.java [0-9]*/*.java known/*/*.java
