--- a/review/1/SecondCopy.java
+++ b/review/1/SecondCopy.java
@@ -129,6 +129,7 @@
             for (int i = 0; i < CHANGES_EACH; i++) {
                 String tag = "book" + book + "-storefront" + storefront + "-" + i;
                 String body = "{\"Price\":" + i + ",\"Tag\":\"" + tag + "\"}";
+                lab.note(tag + ": sent PATCH /Books(" + book + ") " + body);
                 socket.getOutputStream().write(Lab.utf8("PATCH /Books(" + book + ") HTTP/1.1\r\nHost: shop\r\n"
                         + "Content-Type: application/json\r\nPrefer: return=representation\r\nContent-Length: "
                         + body.length() + "\r\n\r\n" + body));
--- a/review/3/KeptBuffers.java
+++ b/review/3/KeptBuffers.java
@@ -58,11 +58,11 @@
         int lost = 0;
         for (Lab.Sent request : sent) {
             boolean inTime = request.await() && request.answeredAt <= request.writtenAt + request.ttl + Lab.GRACE_MILLIS;
-            if (!inTime || request.answers > 1) {
-                lost++;
-                lab.note("LOST " + request.call + ": " + request.outcome());
-            }
+            boolean isLost = !inTime || request.answers > 1;
+            lost += isLost ? 1 : 0;
+            note(lab, "usual client", request, isLost ? ", LOST" : "");
         }
+        badClients.forEach(client -> client.sent.values().forEach(request -> note(lab, client.name, request, "")));
         lab.note("usual client: " + count(List.of(usual)) + ", lost " + lost);
         lab.note("bad clients: " + count(badClients));
         boolean ended = !manager.isAlive();
@@ -87,6 +87,11 @@
         lab.note("bad clients have sent their requests");
     }
 
+    private static void note(Lab lab, String client, Lab.Sent request, String remark) {
+        lab.note(client + ", request " + request.call + ": written at " + request.writtenAt + " ms, " + request.outcome()
+                + (request.answers > 0 ? " at " + request.answeredAt + " ms" : "") + remark);
+    }
+
     private static Map<String, Integer> count(List<Lab.Client> clients) {
         Map<String, Integer> outcomes = new TreeMap<>();
         clients.forEach(client -> client.sent.values().forEach(request -> outcomes.merge(request.outcome(), 1, Integer::sum)));
