Release a connection's buffer with the message that it was grown for

Cause: ByteQueue kept the array of its largest message, and gave it back only when the next bytes did not fit. heldBytes counted the bytes in the queue, so it told 0. Heap dump at the first error, untouched code: 129 arrays of 524,288 bytes (67.6 of 72 MB), each referenced by a ByteQueue with start = end = 0.

Change: ByteQueue holds segments of 4 KB, released as they are taken; heldBytes counts segments. The body of a chunked HTTP message, whose buffer was kept in the same way, uses it too. A session that uses no more input discards its buffer; before it only stopped counting it. The head of a partial HTTP message is counted with its header map, not as 1 byte.

Tests: MemoryTest#survivesClientsThatStayConnectedAfterTheirLargestFrame failed on the untouched code (the connection ended with no answer) and passes now; ByteQueueTest. ClientFramesTest asserted bufferedBytes 8 and 0; it now asserts heldBytes of one segment and 0, which fails for a dropped or a kept payload alike.

--- a/src/main/java/cairnline/protocol/ByteQueue.java
+++ b/src/main/java/cairnline/protocol/ByteQueue.java
@@ -1,39 +1,50 @@
 package cairnline.protocol;
 
-import java.util.Arrays;
+import java.util.ArrayList;
 
-/** A growable FIFO buffer of received bytes that have not been parsed yet. Not thread-safe. */
+/**
+ * A FIFO buffer of received bytes that have not been parsed yet. The bytes are stored in segments of a fixed size, each of
+ * which is allocated when bytes arrive and released as soon as its bytes are taken. The memory that a buffer retains
+ * therefore follows its present content, not the largest message that ever passed through it. Not thread-safe.
+ */
 public final class ByteQueue {
-    private static final int INITIAL_CAPACITY_BYTES = 512;
+    static final int SEGMENT_BYTES = 4_096;
 
-    private byte[] bytes = new byte[INITIAL_CAPACITY_BYTES];
+    private final ArrayList<byte[]> segments = new ArrayList<>();
+    /** Offset of the first byte in the first segment. */
     private int start;
-    private int end;
+    private int size;
 
     /** Appends {@code count} bytes of {@code from}, starting at {@code offset}. */
     public void feed(byte[] from, int offset, int count) {
-        if (end + count > bytes.length) {
-            int size = end - start;
-            // Reallocates an empty buffer, so that an idle connection does not retain the capacity of its largest message.
-            byte[] target = size + count <= bytes.length && size > 0 ? bytes
-                    : new byte[Math.max(INITIAL_CAPACITY_BYTES, Integer.highestOneBit(size + count) * 2)];
-            System.arraycopy(bytes, start, target, 0, size);
-            bytes = target;
-            start = 0;
-            end = size;
+        int copied = 0;
+        while (copied < count) {
+            int end = start + size;
+            if (end == segments.size() * SEGMENT_BYTES) {
+                segments.add(new byte[SEGMENT_BYTES]);
+            }
+            int segmentOffset = end % SEGMENT_BYTES;
+            int length = Math.min(count - copied, SEGMENT_BYTES - segmentOffset);
+            System.arraycopy(from, offset + copied, segments.get(end / SEGMENT_BYTES), segmentOffset, length);
+            copied += length;
+            size += length;
         }
-        System.arraycopy(from, offset, bytes, end, count);
-        end += count;
     }
 
     /** Returns the number of buffered bytes. */
     public int size() {
-        return end - start;
+        return size;
+    }
+
+    /** Returns the number of bytes of memory that the buffer retains for its content. */
+    public int heldBytes() {
+        return segments.size() * SEGMENT_BYTES;
     }
 
     /** Returns the unsigned byte at this offset from the front. */
     public int unsignedByte(int index) {
-        return bytes[start + index] & 0xff;
+        int position = start + index;
+        return segments.get(position / SEGMENT_BYTES)[position % SEGMENT_BYTES] & 0xff;
     }
 
     /** Returns the unsigned big-endian 32-bit integer at this offset from the front. */
@@ -44,7 +55,7 @@
 
     /** Returns the offset of the first occurrence of this byte at or after {@code from}, or -1. */
     public int indexOf(int value, int from) {
-        for (int i = from; i < size(); i++) {
+        for (int i = from; i < size; i++) {
             if (unsignedByte(i) == value) {
                 return i;
             }
@@ -52,19 +63,44 @@
         return -1;
     }
 
+    /** Returns a copy of {@code count} bytes at this offset from the front. */
+    public byte[] copy(int index, int count) {
+        byte[] target = new byte[count];
+        int copied = 0;
+        while (copied < count) {
+            int position = start + index + copied;
+            int segmentOffset = position % SEGMENT_BYTES;
+            int length = Math.min(count - copied, SEGMENT_BYTES - segmentOffset);
+            System.arraycopy(segments.get(position / SEGMENT_BYTES), segmentOffset, target, copied, length);
+            copied += length;
+        }
+        return target;
+    }
+
     /** Removes and returns {@code count} bytes from the front. */
     public byte[] take(int count) {
-        byte[] taken = Arrays.copyOfRange(bytes, start, start + count);
+        byte[] taken = copy(0, count);
         skip(count);
         return taken;
     }
 
     /** Discards {@code count} bytes from the front. */
     public void skip(int count) {
-        start += count;
-        if (start == end) {
-            start = 0;
-            end = 0;
+        size -= count;
+        if (size == 0) {
+            clear();
+            return;
         }
+        start += count;
+        segments.subList(0, start / SEGMENT_BYTES).clear();
+        start %= SEGMENT_BYTES;
+    }
+
+    /** Discards all bytes. */
+    public void clear() {
+        segments.clear();
+        segments.trimToSize();
+        start = 0;
+        size = 0;
     }
 }
--- a/src/main/java/cairnline/protocol/ClientFrames.java
+++ b/src/main/java/cairnline/protocol/ClientFrames.java
@@ -62,10 +62,17 @@
             droppedBytesRemaining = LENGTH_FIELD_BYTES + bytes.unsignedInt(0) - bytes.size();
             droppedFrame = new Frame(bytes.unsignedByte(LENGTH_FIELD_BYTES), bytes.unsignedInt(LENGTH_FIELD_BYTES + 1),
                     new byte[0], true);
-            bytes.skip(bytes.size());
+            bytes.clear();
         }
     }
 
+    /** Discards all received input; to be called when no more input is used. */
+    public void discardInput() {
+        bytes.clear();
+        droppedFrame = null;
+        droppedBytesRemaining = 0;
+    }
+
     /** Returns the stream of an incomplete request, or 0 if there is none or its stream has not been received yet. */
     public long partialRequestStream() {
         boolean streamReceived = droppedFrame == null && bytes.size() >= LENGTH_FIELD_BYTES + HEADER_BYTES
@@ -106,9 +113,9 @@
         return droppedFrame != null || bytes.size() > 0;
     }
 
-    /** Returns the number of buffered bytes. */
-    public int bufferedBytes() {
-        return bytes.size();
+    /** Returns the number of bytes of memory held for input that has not been decoded. */
+    public int heldBytes() {
+        return bytes.heldBytes();
     }
 
     /** Splits a payload into fields and body; throws {@link ProtocolException} if the fields are malformed. */
--- a/src/main/java/cairnline/protocol/HttpDecoder.java
+++ b/src/main/java/cairnline/protocol/HttpDecoder.java
@@ -1,6 +1,5 @@
 package cairnline.protocol;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.LinkedHashMap;
@@ -16,7 +15,7 @@
     /** The head of the message whose body is being received; null while the head is incomplete. */
     private HttpMessage head;
     /** Chunks received of the body. */
-    private final ByteArrayOutputStream chunks = new ByteArrayOutputStream();
+    private final ByteQueue chunks = new ByteQueue();
 
     /** Creates a decoder that rejects larger heads and bodies, with sizes in bytes. */
     public HttpDecoder(int maxHeadBytes, int maxBodyBytes) {
@@ -34,9 +33,16 @@
         return head != null || bytes.size() > 0;
     }
 
-    /** Returns the number of buffered bytes of the incomplete message; at least 1 if its head has been parsed. */
-    public int bufferedBytes() {
-        return bytes.size() + chunks.size() + (head == null ? 0 : 1);
+    /** Returns the number of bytes of memory held for the incomplete message. */
+    public long heldBytes() {
+        return bytes.heldBytes() + chunks.heldBytes() + (head == null ? 0 : head.heldBytes());
+    }
+
+    /** Discards all received input; to be called when no more input is used. */
+    public void discardInput() {
+        bytes.clear();
+        chunks.clear();
+        head = null;
     }
 
     /** Returns the next complete message, or null if it has not been received completely. */
@@ -108,11 +114,7 @@
             return null;
         }
         int textEnd = end > from && bytes.unsignedByte(end - 1) == '\r' ? end - 1 : end;
-        byte[] text = new byte[textEnd - from];
-        for (int i = 0; i < text.length; i++) {
-            text[i] = (byte) bytes.unsignedByte(from + i);
-        }
-        return new String(text, StandardCharsets.UTF_8);
+        return new String(bytes.copy(from, textEnd - from), StandardCharsets.UTF_8);
     }
 
     private byte[] bodyOfContentLength() {
@@ -155,7 +157,7 @@
                 return null;
             }
             bytes.skip(chunkStart);
-            chunks.writeBytes(bytes.take(count));
+            chunks.feed(bytes.take(count), 0, count);
             if (!"".equals(readLine(0))) {
                 throw new ProtocolException("a chunk does not end where it says");
             }
@@ -170,9 +172,7 @@
             position = lineEnd(position) + 1;
             if (line.isEmpty()) {
                 bytes.skip(position);
-                byte[] body = chunks.toByteArray();
-                chunks.reset();
-                return body;
+                return chunks.take(chunks.size());
             }
         }
         return null;
--- a/src/main/java/cairnline/protocol/HttpMessage.java
+++ b/src/main/java/cairnline/protocol/HttpMessage.java
@@ -16,6 +16,8 @@
 public record HttpMessage(String[] startLine, Map<String, String> headers, byte[] body) {
     private static final byte[] EMPTY_BODY = {};
     private static final int STATUS_NO_CONTENT = 204;
+    /** Memory of a header beside its characters: an entry of the map and two strings. */
+    private static final int HEADER_OVERHEAD_BYTES = 160;
 
     /**
      * Rejects parts that could inject further lines or headers, since batches and recordings can contain any text; throws
@@ -81,6 +83,15 @@
         return connection.contains("close") || isHttp10 && !connection.contains("keep-alive");
     }
 
+    /** Returns an estimate of the bytes of memory that the message holds. */
+    public long heldBytes() {
+        long bytes = body.length + startLine[1].length();
+        for (Map.Entry<String, String> header : headers.entrySet()) {
+            bytes += HEADER_OVERHEAD_BYTES + header.getKey().length() + header.getValue().length();
+        }
+        return bytes;
+    }
+
     /** Returns a copy with this header added or replaced. */
     public HttpMessage withHeader(String name, String value) {
         Map<String, String> extended = new LinkedHashMap<>(headers);
--- a/src/main/java/cairnline/transport/ClientActivity.java
+++ b/src/main/java/cairnline/transport/ClientActivity.java
@@ -37,12 +37,7 @@
         }
     }
 
-    /** Releases the bytes held for the partial message, when no more input is used. */
-    void releaseBytes() {
-        setHeldBytes(0);
-    }
-
-    /** Sets the size of the partial message; false if it grew and the bytes held for all clients exceed their limit. */
+    /** Sets the memory held for the partial message; false if it grew and the bytes held for all clients exceed their limit. */
     boolean setHeldBytes(long bytes) {
         long increase = bytes - heldBytes;
         heldBytes = bytes;
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -104,13 +104,19 @@
         startDraining();
     }
 
-    /** Drops all further input; the output is shut down after the answer to the last open request. */
-    private synchronized void startDraining() {
-        if (!draining) {
+    /** Drops all input; the output is shut down after the answer to the last open request. On the loop's thread. */
+    private void startDraining() {
+        connection.ignoreInput();
+        discardInput();
+        synchronized (this) {
             draining = true;
-            connection.ignoreInput();
+            finishIfAnswered();
         }
-        finishIfAnswered();
+    }
+
+    private void discardInput() {
+        frames.discardInput();
+        activity.setHeldBytes(0);
     }
 
     private void finishIfAnswered() {
@@ -129,9 +135,9 @@
                 handleFrame(frame, receivedAt);
             }
             activity.onRead(receivedAt, complete, frames.hasPartialInput());
-            if (!activity.setHeldBytes(frames.bufferedBytes())) {
+            if (!activity.setHeldBytes(frames.heldBytes())) {
                 frames.dropPartialPayload();
-                activity.setHeldBytes(frames.bufferedBytes());
+                activity.setHeldBytes(frames.heldBytes());
             }
         } catch (ProtocolException e) {
             stopReading(e.getMessage());
@@ -147,7 +153,6 @@
         if (partialStream > 0 && usedStreams.use(partialStream)) {
             connection.send(textAnswer(partialStream, ClientFrames.CODE_REFUSED, problem));
         }
-        activity.releaseBytes();
         scheduleDetach(front.clock().micros());
         startDraining();
     }
@@ -213,7 +218,7 @@
         }
         unanswered.forEach(request -> front.addHeldBytes(-request.statement().length));
         unanswered.forEach(front.dispatcher()::abandon);
-        activity.releaseBytes();
+        discardInput();
         closeListener.run();
     }
 
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -116,7 +116,7 @@
                 connection.enqueue(now -> queueRequest(received));
             }
             activity.onRead(receivedAt, complete, decoder.hasPartialInput());
-            if (!activity.setHeldBytes(decoder.bufferedBytes())) {
+            if (!activity.setHeldBytes(decoder.heldBytes())) {
                 closeInput(ODataModel.error(503, "too much has begun and not ended").withHeader("retry-after", "1"));
             }
         } catch (ProtocolException e) {
@@ -130,11 +130,16 @@
             inputIgnored = true;
             finalAnswer = error;
             connection.ignoreInput();
-            activity.releaseBytes();
+            discardInput();
         }
         finishIfAnswered();
     }
 
+    private void discardInput() {
+        decoder.discardInput();
+        activity.setHeldBytes(0);
+    }
+
     private void finishIfAnswered() {
         if (!inputIgnored || outputFinished || unansweredCount.get() > 0) {
             return;
@@ -176,7 +181,8 @@
         closed = true;
         openCalls.forEach(ODataCall::abandon);
         openCalls.clear();
-        activity.releaseBytes();
+        queuedRequests.clear();
+        discardInput();
         closeListener.run();
     }
 
@@ -263,6 +269,8 @@
             inputIgnored = true;
             outputFinished = true;
             connection.ignoreInput();
+            discardInput();
+            queuedRequests.clear();
             connection.finishOutput();
             return versioned.withHeader("connection", "close").encode();
         }
--- a/src/test/java/cairnline/program/MemoryTest.java
+++ b/src/test/java/cairnline/program/MemoryTest.java
@@ -32,6 +32,9 @@
     private static final int REQUESTS_PER_CLIENT = 30;
     private static final int PAGE_BYTES = 6_000;
     private static final int STATEMENT_BYTES = 260_000;
+    private static final int LARGE_FRAME_CLIENTS = 250;
+    /** The greatest length of a frame, and the four bytes that hold it. */
+    private static final int LARGEST_FRAME_BYTES = 262_144 + 4;
 
     @TempDir
     Path folder;
@@ -96,6 +99,12 @@
         return manager;
     }
 
+    private static byte[] largestFrame(Map<String, String> fields) {
+        byte[] statement = new byte[LARGEST_FRAME_BYTES - ClientFrames.request(1, fields, new byte[0]).length];
+        Arrays.fill(statement, (byte) 'x');
+        return ClientFrames.request(1, fields, statement);
+    }
+
     private static void assertServes(ManagerProcess manager) throws Exception {
         try (FrameClient client = new FrameClient(manager.port())) {
             for (int i = 0; i < REQUESTS_PER_CLIENT; i++) {
@@ -129,6 +138,27 @@
         }
     }
 
+    /** Guards against connections that keep the buffer of their largest frame: 250 of those exceed the heap. */
+    @Test
+    void survivesClientsThatStayConnectedAfterTheirLargestFrame() throws Exception {
+        try (LargeAnswerEngine engine = new LargeAnswerEngine(); StandInFeed feed = new StandInFeed();
+                ManagerProcess manager = start(feed, engine)) {
+            byte[] frame = largestFrame(Map.of("op", "no-such-class", "ttl", "7000", "call", "00000000000000ff"));
+            List<Socket> connections = new ArrayList<>();
+            for (int i = 0; i < LARGE_FRAME_CLIENTS; i++) {
+                Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), manager.port());
+                connections.add(socket);
+                socket.getOutputStream().write(frame);
+                assertEquals(ClientFrames.ANSWER, socket.getInputStream().readNBytes(5)[4], manager.readLog());
+            }
+            assertServes(manager);
+            for (Socket socket : connections) {
+                socket.close();
+            }
+            assertEquals(0, manager.stop(), manager.readLog());
+        }
+    }
+
     @Test
     void survivesClientsThatSendIncompleteStatements() throws Exception {
         try (LargeAnswerEngine engine = new LargeAnswerEngine(); StandInFeed feed = new StandInFeed();
--- a/src/test/java/cairnline/protocol/ClientFramesTest.java
+++ b/src/test/java/cairnline/protocol/ClientFramesTest.java
@@ -37,10 +37,10 @@
         ClientFrames frames = new ClientFrames(2_000);
         frames.feed(large, 8);
         frames.dropPartialPayload();
-        assertEquals(8, frames.bufferedBytes(), "the stream number has not been received yet");
+        assertEquals(ByteQueue.SEGMENT_BYTES, frames.heldBytes(), "the stream number has not been received yet");
         frames.feed(Arrays.copyOfRange(large, 8, 500), 492);
         frames.dropPartialPayload();
-        assertEquals(0, frames.bufferedBytes());
+        assertEquals(0, frames.heldBytes());
         assertTrue(frames.hasPartialInput());
         assertNull(frames.next());
         byte[] remainder = Arrays.copyOfRange(large, 500, large.length + next.length);
