Count answers that wait for clients, and fail those of clients that read none

Callers saw: 40 clients that go on sending requests and never read an answer end the process (OutOfMemoryError on threads core and connections, exit code 70); the clients beside them get no answer.

Cause: a connection's write queue was bounded by 64 messages of any size, and checked only after up to eight reads; no limit counted its bytes, which for 40 connections came to more than the heap.

Change: MemoryBudget counts the bytes of a group of connections, an Account those of one; it replaces the counter of SocketFront. OutboundQueue (out of TcpConnection) counts each message from when it is enqueued until it is written or dropped. Over clients.unsentBytes (8 MB, both fronts together) a connection whose peer accepts nothing is not read, its answers are failures instead of rows, and reads are short. clients.heldBytes is now one limit for both fronts too. A frame is no longer counted twice while its request is taken. A connection writes what it enqueued while it read before the next connection is served.

TcpConnectionTest#writesMessagesInOrderWhenOneEnqueuesAnother failed once beside load: its first message could be encoded before the test enqueued the second; both are now enqueued on the loop's thread.

--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -302,11 +302,11 @@
                 Clock.ofMillis(1_000));
         Limits.Connections connections = new Limits.Connections(256, Clock.ofMillis(500), 65_536, Clock.ofMillis(20_000),
                 connectTimeout);
-        Limits.Clients clients = new Limits.Clients(clientConnections(sockets), 32, 8 << 20, Clock.ofMillis(4_500),
+        Limits.Clients clients = new Limits.Clients(clientConnections(sockets), 32, 8 << 20, 8 << 20, Clock.ofMillis(4_500),
                 Clock.ofMillis(250), Clock.ofMillis(2_000), Clock.ofMillis(2_500), 262_144);
         Limits.Engines engines = new Limits.Engines(idleClose * 2 / 3, 8, engineConnections(sockets),
                 (int) fields.integer("permissions.streamsPerConn", 100), 4, engineSilenceTimeout(fields), Clock.ofMillis(500),
-                8_192, 6_000, 64, 48_000);
+                8_192, 6_000, 64, 48_000, 16 << 20, 8 << 20);
         Limits.Feed feed = new Limits.Feed(Clock.ofMillis(1_000), Clock.ofMillis(200), Clock.ofMillis(2_300),
                 Clock.ofMillis(250), 4 << 20);
         Limits.Shutdown shutdown = new Limits.Shutdown(SHUTDOWN_ACCEPT_MICROS, shutdownAnswerDelay(longestDeadline),
--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -5,6 +5,7 @@
 import cairnline.routing.Dispatcher;
 import cairnline.routing.EngineListUpdates;
 import cairnline.routing.WallClock;
+import cairnline.transport.ConnectionMemory;
 import cairnline.transport.EventLoop;
 import cairnline.transport.FeedClient;
 import cairnline.transport.HttpLink;
@@ -25,7 +26,8 @@
     private final long drainMicros;
     private final FeedClient feedClient;
 
-    ODataServer(Configuration configuration, ODataConfiguration odata, EventLoop loop, EventSink log) throws IOException {
+    ODataServer(Configuration configuration, ODataConfiguration odata, EventLoop loop, ConnectionMemory clientMemory,
+                ConnectionMemory engineMemory, EventSink log) throws IOException {
         var clock = loop.clock();
         var limits = configuration.limits();
         drainMicros = limits.shutdown().drainPeriod();
@@ -35,10 +37,11 @@
         dispatcher = new Dispatcher(configuration.settings().withoutReports(), configuration.seed(), limits, clock,
                 line -> log.warn("module", line),
                 (engine, owner) -> new HttpLink(Server.resolveOrUnreachable(engine.address(), log), owner, limits, loop,
-                        connections));
+                        connections, engineMemory));
         listUpdates = new EngineListUpdates(dispatcher, limits, clock);
         listener = new Listener(odata.listen(), limits.clients().connections() / 2, limits, loop, log);
-        front = new ODataFront(listener, dispatcher, odata.model(), configuration.clientTimeouts(), limits, log);
+        front = new ODataFront(listener, dispatcher, odata.model(), configuration.clientTimeouts(), limits, clientMemory,
+                log);
         feedClient = odata.feed() == null ? null
                 : new FeedClient(odata.feed(), listUpdates, limits, clock, new WallClock(clock), log);
         if (!odata.engines().isEmpty()) {
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -17,6 +17,7 @@
 import cairnline.store.SnapshotFolder;
 import cairnline.store.SnapshotWriter;
 import cairnline.transport.ClientFront;
+import cairnline.transport.ConnectionMemory;
 import cairnline.transport.EventLoop;
 import cairnline.transport.FeedClient;
 import cairnline.transport.Listener;
@@ -56,11 +57,13 @@
                 : new SnapshotFolder(settings.snapshotFolder(), settings.store(), log);
         ConnectionBudget<PooledLink.Connection> connections =
                 new ConnectionBudget<>(limits.engines().connections(), limits.engines().idleTimeout());
+        ConnectionMemory clientMemory = ConnectionMemory.forClients(limits);
+        ConnectionMemory engineMemory = ConnectionMemory.forEngines(limits);
         snapshotWriter = folder == null ? null : new SnapshotWriter(folder, settings.store(), log, clock::micros);
         dispatcher = new Dispatcher(configuration.settings(), configuration.seed(), limits, clock,
                 line -> log.warn("module", line),
                 (engine, owner) -> new RespLink(engine.id(), resolveOrUnreachable(engine.address(), log), owner, limits, loop,
-                        connections, log),
+                        connections, engineMemory, log),
                 settings.trust(), snapshotWriter == null ? EngineListStore.NONE : snapshotWriter,
                 settings.logRequests() ? this::trace : RequestTrace.OFF);
         // The engines in the configuration may be outdated by the time of the start: one may be draining since.
@@ -69,7 +72,7 @@
         feedClient = new FeedClient(configuration.feed(), listUpdates, limits, clock, wallClock, log);
         clientFront = new ClientFront(
                 new Listener(configuration.listen(), limits.clients().connections(), limits, loop, log), dispatcher,
-                configuration.requestClasses(), limits, log);
+                configuration.requestClasses(), limits, clientMemory, log);
         if (folder != null) {
             restoreEngineList(folder);
         }
@@ -79,7 +82,7 @@
                 : FeedClient.toListedEngines(
                         FeedEvent.currentList(configuration.lastInitialEventNumber(), configuration.initialEvents()), wallClock));
         odataServer = settings.odata() == null ? null
-                : new ODataServer(configuration, settings.odata(), loop, log);
+                : new ODataServer(configuration, settings.odata(), loop, clientMemory, engineMemory, log);
     }
 
     /** Restores the stored engine list unless the configuration lists engines: those come from the feed, so they prevail. */
--- a/src/main/java/cairnline/routing/Limits.java
+++ b/src/main/java/cairnline/routing/Limits.java
@@ -32,15 +32,17 @@
      *
      * @param connections maximum number of client connections
      * @param openRequests maximum number of open requests on one connection
-     * @param heldBytes maximum total size of the statements of open requests and of incomplete messages
+     * @param heldBytes maximum total memory held for open requests and incomplete messages
+     * @param unsentBytes total memory of answers that wait to be accepted by clients, beyond which a client that accepts
+     *     none gets failures instead of rows
      * @param idleTimeout a connection without open requests is closed after this time
      * @param evictableAfter a connection without activity for this long may be evicted in favour of a new one
      * @param firstMessageTimeout time within which a client must have started its first message
      * @param messageTimeout time within which a message that has started must be complete
      * @param frameBytes maximum length of a frame
      */
-    public record Clients(int connections, int openRequests, long heldBytes, long idleTimeout, long evictableAfter,
-                          long firstMessageTimeout, long messageTimeout, int frameBytes) { }
+    public record Clients(int connections, int openRequests, long heldBytes, long unsentBytes, long idleTimeout,
+                          long evictableAfter, long firstMessageTimeout, long messageTimeout, int frameBytes) { }
 
     /**
      * Limits of connections to engines by the platform's protocol.
@@ -57,10 +59,13 @@
      * @param pageBytes maximum size of a page of a result
      * @param pages maximum number of pages of a result
      * @param resultBytes maximum size of a result
+     * @param heldBytes maximum total memory held for partial answers and for results that the dispatcher has not taken yet
+     * @param unsentBytes total memory of encoded commands that wait to be accepted by engines, beyond which nothing is read
+     *     from an engine that accepts none
      */
     public record Engines(long idleTimeout, int connectionsPerEngine, int connections, int streamsPerConnection,
                           int streamsBeforeNewConnection, long silenceTimeout, long partialAnswerTimeout, int partBytes,
-                          int pageBytes, int pages, int resultBytes) { }
+                          int pageBytes, int pages, int resultBytes, long heldBytes, long unsentBytes) { }
 
     /**
      * Limits of the control feed.
--- a/src/main/java/cairnline/transport/ClientActivity.java
+++ b/src/main/java/cairnline/transport/ClientActivity.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.pools.MemoryBudget;
 import cairnline.routing.Limits;
 
 /**
@@ -8,17 +9,16 @@
  * bytes indefinitely. Confined to the event loop's thread, except where noted.
  */
 final class ClientActivity {
-    private final SocketFront front;
     private final Limits limits;
+    private final MemoryBudget.Account received;
     private final long connectedAt;
     /** Since when the current partial message has been incomplete; 0 without a partial message. */
     private long partialSince;
-    private long heldBytes;
     private volatile boolean requestReceived;
     private volatile long lastActiveAt;
 
     ClientActivity(SocketFront front) {
-        this.front = front;
+        this.received = front.memory().received().openAccount();
         this.limits = front.limits();
         this.connectedAt = front.clock().micros();
         this.lastActiveAt = connectedAt;
@@ -39,9 +39,7 @@
 
     /** Sets the memory held for the partial message; false if it grew and the bytes held for all clients exceed their limit. */
     boolean setHeldBytes(long bytes) {
-        long increase = bytes - heldBytes;
-        heldBytes = bytes;
-        return increase == 0 || front.addHeldBytes(increase) || increase < 0;
+        return received.set(bytes);
     }
 
     /** Records an answer; safe for any thread. */
--- a/src/main/java/cairnline/transport/ClientFront.java
+++ b/src/main/java/cairnline/transport/ClientFront.java
@@ -15,8 +15,8 @@
 
     /** Creates a server at this listener for the given request classes, by their names. */
     public ClientFront(Listener listener, Dispatcher dispatcher, Map<String, ClassRequirements> classRequirements, Limits limits,
-                       EventSink log) {
-        super(listener, dispatcher, limits, log);
+                       ConnectionMemory memory, EventSink log) {
+        super(listener, dispatcher, limits, memory, log);
         this.classRequirements = classRequirements;
     }
 
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.pools.MemoryBudget;
 import cairnline.protocol.ClientFrames;
 import cairnline.protocol.ClientFrames.Content;
 import cairnline.protocol.ClientFrames.Frame;
@@ -38,6 +39,8 @@
     private final ClientActivity activity;
     /** Unanswered requests by stream; guarded by this session's lock, like {@link #draining}. */
     private final Map<Long, Request> openRequests = new HashMap<>();
+    /** The memory of {@link #openRequests}. */
+    private final MemoryBudget.Account openRequestMemory;
     private boolean draining;
     private Runnable closeListener;
     private int invalidRequestCount;
@@ -45,9 +48,11 @@
     ClientSession(SocketChannel channel, ClientFront front) {
         this.channel = channel;
         this.front = front;
-        this.connection = TcpConnection.forAcceptedChannel(front.loop(), channel, front.limits(), this);
+        this.connection = TcpConnection.forAcceptedChannel(front.loop(), channel, front.limits(), front.memory().unsent(),
+                this);
         this.frames = new ClientFrames(front.limits().clients().frameBytes());
         this.activity = new ClientActivity(front);
+        this.openRequestMemory = front.memory().received().openAccount();
     }
 
     @Override
@@ -132,6 +137,7 @@
             boolean complete = false;
             for (Frame frame = frames.next(); frame != null; frame = frames.next()) {
                 complete = true;
+                activity.setHeldBytes(frames.heldBytes());
                 handleFrame(frame, receivedAt);
             }
             activity.onRead(receivedAt, complete, frames.hasPartialInput());
@@ -216,7 +222,7 @@
             front.log().info("client.left", "connection closed with requests open", "peer", connection.address(),
                     "cause", connection.closeCause(), "open", requestIds(unanswered));
         }
-        unanswered.forEach(request -> front.addHeldBytes(-request.statement().length));
+        openRequestMemory.close();
         unanswered.forEach(front.dispatcher()::abandon);
         discardInput();
         closeListener.run();
@@ -242,7 +248,7 @@
     private synchronized Request removeOpenRequest(long stream) {
         Request request = openRequests.remove(stream);
         if (request != null) {
-            front.addHeldBytes(-request.statement().length);
+            openRequestMemory.add(-request.statement().length);
         }
         return request;
     }
@@ -296,8 +302,8 @@
     }
 
     private void submit(long stream, Request request) {
-        if (!front.addHeldBytes(request.statement().length)) {
-            front.addHeldBytes(-request.statement().length);
+        if (!openRequestMemory.add(request.statement().length)) {
+            openRequestMemory.add(-request.statement().length);
             connection.send(textAnswer(stream, ClientFrames.CODE_REFUSED, "too much is open"));
             return;
         }
@@ -333,13 +339,18 @@
             return;
         }
         activity.onAnswered(front.clock().micros());
+        connection.send(connection.mayWait(answer.rows().length) ? encode(stream, answer)
+                : textAnswer(stream, ClientFrames.CODE_FAILED, "too many answers wait to be read"));
+        finishIfAnswered();
+    }
+
+    private static byte[] encode(long stream, Answer answer) {
         int code = switch (answer.kind()) {
             case SERVED -> ClientFrames.CODE_SERVED;
             case REFUSED -> ClientFrames.CODE_REFUSED;
             case FAILED -> ClientFrames.CODE_FAILED;
         };
-        connection.send(ClientFrames.answer(stream, code, Map.of(), answer.rows()));
-        finishIfAnswered();
+        return ClientFrames.answer(stream, code, Map.of(), answer.rows());
     }
 
     private static byte[] errorFrame(String problem) {
--- a/src/main/java/cairnline/transport/HttpConnection.java
+++ b/src/main/java/cairnline/transport/HttpConnection.java
@@ -37,12 +37,13 @@
     private ODataPages pages = new ODataPages();
     private int pageCount;
 
-    HttpConnection(HttpLink link, InetSocketAddress address, Dispatcher dispatcher, Limits limits, EventLoop loop) {
+    HttpConnection(HttpLink link, InetSocketAddress address, Dispatcher dispatcher, Limits limits, EventLoop loop,
+                   ConnectionMemory memory) {
         this.link = link;
         this.address = address;
         this.dispatcher = dispatcher;
         this.limits = limits;
-        this.connection = TcpConnection.unconnected(loop, limits, this);
+        this.connection = TcpConnection.unconnected(loop, limits, memory.unsent(), this);
         this.decoder = new HttpDecoder(limits.http().headBytes(), limits.http().bodyBytes());
     }
 
--- a/src/main/java/cairnline/transport/HttpLink.java
+++ b/src/main/java/cairnline/transport/HttpLink.java
@@ -14,22 +14,24 @@
     private final Dispatcher dispatcher;
     private final Limits limits;
     private final EventLoop loop;
+    private final ConnectionMemory memory;
 
     /** Creates a link, which connects when it sends its first attempt. */
     public HttpLink(InetSocketAddress address, Dispatcher dispatcher, Limits limits, EventLoop loop,
-                    ConnectionBudget<Connection> budget) {
+                    ConnectionBudget<Connection> budget, ConnectionMemory memory) {
         super(limits.http().connections(), budget, loop.clock());
         this.address = address;
         this.dispatcher = dispatcher;
         this.limits = limits;
         this.loop = loop;
+        this.memory = memory;
     }
 
     @Override
     public boolean send(Attempt attempt) {
         HttpConnection connection = acquire(HttpConnection::isIdle, candidate -> 0, 1, () -> {
             // Connect before the request is enqueued, since it is written only on a connected socket.
-            HttpConnection opened = new HttpConnection(this, address, dispatcher, limits, loop);
+            HttpConnection opened = new HttpConnection(this, address, dispatcher, limits, loop, memory);
             opened.connect();
             return opened;
         });
--- a/src/main/java/cairnline/transport/ODataFront.java
+++ b/src/main/java/cairnline/transport/ODataFront.java
@@ -17,8 +17,8 @@
      * state none.
      */
     public ODataFront(Listener listener, Dispatcher dispatcher, ODataModel model, Map<String, Long> timeouts, Limits limits,
-                      EventSink log) {
-        super(listener, dispatcher, limits, log);
+                      ConnectionMemory memory, EventSink log) {
+        super(listener, dispatcher, limits, memory, log);
         this.model = model;
         this.timeouts = timeouts;
     }
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -50,7 +50,8 @@
     ODataSession(SocketChannel channel, ODataFront front) {
         this.channel = channel;
         this.front = front;
-        this.connection = TcpConnection.forAcceptedChannel(front.loop(), channel, front.limits(), this);
+        this.connection = TcpConnection.forAcceptedChannel(front.loop(), channel, front.limits(), front.memory().unsent(),
+                this);
         this.decoder = new HttpDecoder(front.limits().http().headBytes(), front.limits().http().bodyBytes());
         this.activity = new ClientActivity(front);
     }
@@ -251,10 +252,30 @@
     }
 
     private void sendAnswer(HttpMessage request, HttpMessage answer) {
-        connection.enqueue(now -> {
+        connection.enqueue(new AnswerMessage(request, connection.mayWait(answer.heldBytes()) ? answer
+                : ODataModel.error(502, "too many answers wait to be read")));
+    }
+
+    /** The message that completes the current request. */
+    private final class AnswerMessage implements OutboundQueue.OutboundMessage {
+        private final HttpMessage request;
+        private final HttpMessage answer;
+
+        AnswerMessage(HttpMessage request, HttpMessage answer) {
+            this.request = request;
+            this.answer = answer;
+        }
+
+        @Override
+        public byte[] encode(long now) {
             openCalls.clear();
             return completeRequest(request, answer);
-        });
+        }
+
+        @Override
+        public long heldBytes() {
+            return answer.heldBytes();
+        }
     }
 
     /** Encodes the answer to the current request, and schedules the next request or the end of the connection. */
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -57,11 +57,12 @@
     private long awaitingSince;
     private long lastReceivedAt;
 
-    RespConnection(RespLink link, Dispatcher dispatcher, Limits limits, EventLoop loop) {
+    RespConnection(RespLink link, Dispatcher dispatcher, Limits limits, EventLoop loop,
+                   ConnectionMemory memory) {
         this.link = link;
         this.dispatcher = dispatcher;
         this.limits = limits;
-        this.connection = TcpConnection.unconnected(loop, limits, this);
+        this.connection = TcpConnection.unconnected(loop, limits, memory.unsent(), this);
         this.decoder = new Resp(MAX_ANSWER_PARTS, limits.engines().partBytes());
         this.lastReceivedAt = loop.clock().micros();
     }
@@ -156,7 +157,7 @@
     }
 
     /** The message that sends an attempt; if the attempt is cancelled while it is written in part, the rest is not written. */
-    private final class AttemptMessage implements TcpConnection.OutboundMessage {
+    private final class AttemptMessage implements OutboundQueue.OutboundMessage {
         private final Exchange exchange;
 
         AttemptMessage(Exchange exchange) {
--- a/src/main/java/cairnline/transport/RespLink.java
+++ b/src/main/java/cairnline/transport/RespLink.java
@@ -16,17 +16,19 @@
     private final Dispatcher dispatcher;
     private final Limits limits;
     private final EventLoop loop;
+    private final ConnectionMemory memory;
     private final EventSink log;
 
     /** Creates a link to the engine with this id, which connects when it first sends something. */
     public RespLink(String engine, InetSocketAddress address, Dispatcher dispatcher, Limits limits, EventLoop loop,
-                    ConnectionBudget<Connection> budget, EventSink log) {
+                    ConnectionBudget<Connection> budget, ConnectionMemory memory, EventSink log) {
         super(limits.engines().connectionsPerEngine(), budget, loop.clock());
         this.engine = engine;
         this.address = address;
         this.dispatcher = dispatcher;
         this.limits = limits;
         this.loop = loop;
+        this.memory = memory;
         this.log = log;
     }
 
@@ -51,7 +53,7 @@
     private RespConnection acquireConnection(String id) {
         return acquire(candidate -> candidate.canStart(id), RespConnection::openRequestCount,
                 limits.engines().streamsBeforeNewConnection(), () -> {
-                    RespConnection newConnection = new RespConnection(this, dispatcher, limits, loop);
+                    RespConnection newConnection = new RespConnection(this, dispatcher, limits, loop, memory);
                     newConnection.connect(address);
                     return newConnection;
                 });
--- a/src/main/java/cairnline/transport/SocketFront.java
+++ b/src/main/java/cairnline/transport/SocketFront.java
@@ -7,7 +7,6 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** Base of the client-facing servers: a listener whose sessions pass their requests to the dispatcher. */
 public abstract class SocketFront {
@@ -15,13 +14,14 @@
     private final Dispatcher dispatcher;
     private final Limits limits;
     private final EventSink log;
-    private final AtomicLong heldBytes = new AtomicLong();
+    private final ConnectionMemory memory;
     private volatile boolean stopping;
 
-    SocketFront(Listener listener, Dispatcher dispatcher, Limits limits, EventSink log) {
+    SocketFront(Listener listener, Dispatcher dispatcher, Limits limits, ConnectionMemory memory, EventSink log) {
         this.listener = listener;
         this.dispatcher = dispatcher;
         this.limits = limits;
+        this.memory = memory;
         this.log = log;
     }
 
@@ -57,13 +57,9 @@
         return listener.connectionCount();
     }
 
-    /**
-     * Adds to the bytes held for all clients together, or subtracts if {@code bytes} is negative. Returns whether the total is
-     * within its limit; the bytes are counted either way. The limits of a single client do not prevent hundreds of clients
-     * from exhausting the memory together.
-     */
-    boolean addHeldBytes(long bytes) {
-        return heldBytes.addAndGet(bytes) <= limits.clients().heldBytes();
+    /** Returns the memory budgets of the clients' connections. */
+    ConnectionMemory memory() {
+        return memory;
     }
 
     boolean isStopping() {
--- a/src/main/java/cairnline/transport/StandInEngine.java
+++ b/src/main/java/cairnline/transport/StandInEngine.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.pools.MemoryBudget;
 import cairnline.protocol.HttpDecoder;
 import cairnline.protocol.HttpMessage;
 import cairnline.protocol.ODataModel;
@@ -20,11 +21,13 @@
 
     private final Listener listener;
     private final Limits limits;
+    private final MemoryBudget unsent;
 
     /** Creates a stand-in at this listener, not yet started. */
     public StandInEngine(Listener listener, Limits limits) {
         this.listener = listener;
         this.limits = limits;
+        this.unsent = new MemoryBudget(limits.clients().unsentBytes());
     }
 
     /** Starts to accept connections. */
@@ -38,7 +41,7 @@
         private Runnable closeListener = () -> { };
 
         Session(SocketChannel channel) {
-            connection = TcpConnection.forAcceptedChannel(listener.loop(), channel, limits, this);
+            connection = TcpConnection.forAcceptedChannel(listener.loop(), channel, limits, unsent, this);
         }
 
         @Override
--- a/src/main/java/cairnline/transport/TcpConnection.java
+++ b/src/main/java/cairnline/transport/TcpConnection.java
@@ -1,7 +1,9 @@
 package cairnline.transport;
 
+import cairnline.pools.MemoryBudget;
 import cairnline.routing.Clock;
 import cairnline.routing.Limits;
+import cairnline.transport.OutboundQueue.OutboundMessage;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
@@ -10,10 +12,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
-import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * One TCP connection on an {@link EventLoop}. It passes received bytes to its handler and writes outbound messages in the
@@ -23,6 +22,8 @@
 final class TcpConnection implements EventLoop.Handler {
     /** Reading pauses while more messages than this wait for a peer that does not read. */
     private static final int READ_PAUSE_THRESHOLD_MESSAGES = 64;
+    /** Size of a read while the memory for unsent messages is exhausted, since the answers to what is read add to it. */
+    private static final int REDUCED_READ_BYTES = 1_024;
     /** Keeps one busy connection from starving the others on the loop. */
     private static final int MAX_READS_PER_ROUND = 8;
     /** Result of a channel's read at the end of the input; other negative results mean an interrupted call. */
@@ -32,9 +33,8 @@
     private final Limits limits;
     private final Clock clock;
     private final Handler handler;
-    private final Queue<OutboundMessage> messages = new ConcurrentLinkedQueue<>();
-    /** Messages that are queued or being written. */
-    private final AtomicInteger pendingCount = new AtomicInteger();
+    private final MemoryBudget unsentBudget;
+    private final OutboundQueue outbound;
     private final AtomicBoolean flushScheduled = new AtomicBoolean();
     private volatile boolean closed;
     private volatile boolean finishingOutput;
@@ -46,11 +46,6 @@
     private SelectionKey key;
     private EventLoop.Timer timer;
     private boolean connected;
-    /** The bytes being written, and their message; null between messages. */
-    private ByteBuffer currentBytes;
-    private OutboundMessage currentMessage;
-    /** Since when {@link #currentBytes} could not be written completely; 0 while nothing is blocked. */
-    private long writeBlockedSince;
     private long lastReadAt;
     /** Since when received bytes may have waited in the socket; 0 if the socket was read empty. */
     private long unreadSince;
@@ -97,37 +92,32 @@
         void onClosed(boolean wasConnected);
     }
 
-    /** A message in the write queue. */
-    interface OutboundMessage {
-        /** Encodes the message when its turn to be written has come; null if there is nothing to write any more. */
-        byte[] encode(long now);
-
-        /** Whether to go on with a message that is written in part; the connection is closed otherwise. */
-        default boolean isWanted() {
-            return true;
-        }
-    }
-
-    private TcpConnection(EventLoop loop, Limits limits, Handler handler) {
+    private TcpConnection(EventLoop loop, Limits limits, MemoryBudget unsentBudget, Handler handler) {
         this.loop = loop;
         this.limits = limits;
+        this.unsentBudget = unsentBudget;
+        this.outbound = new OutboundQueue(unsentBudget);
         this.clock = loop.clock();
         this.handler = handler;
     }
 
-    /** Wraps an accepted channel; nothing is read or written before {@link #start}. */
-    static TcpConnection forAcceptedChannel(EventLoop loop, SocketChannel channel, Limits limits, Handler handler) {
-        TcpConnection connection = new TcpConnection(loop, limits, handler);
+    /**
+     * Wraps an accepted channel; nothing is read or written before {@link #start}. The messages that wait to be written count
+     * against {@code unsentBudget}.
+     */
+    static TcpConnection forAcceptedChannel(EventLoop loop, SocketChannel channel, Limits limits, MemoryBudget unsentBudget,
+                                            Handler handler) {
+        TcpConnection connection = new TcpConnection(loop, limits, unsentBudget, handler);
         connection.channel = channel;
         return connection;
     }
 
     /**
      * Creates a connection for {@link #connect}; messages wait until it is connected. Its handler may be notified of its end
-     * at any time.
+     * at any time. The messages that wait to be written count against {@code unsentBudget}.
      */
-    static TcpConnection unconnected(EventLoop loop, Limits limits, Handler handler) {
-        return new TcpConnection(loop, limits, handler);
+    static TcpConnection unconnected(EventLoop loop, Limits limits, MemoryBudget unsentBudget, Handler handler) {
+        return new TcpConnection(loop, limits, unsentBudget, handler);
     }
 
     /** Starts an accepted connection, whose first bytes may have arrived since {@code arrivedSince}; on the loop's thread. */
@@ -201,7 +191,7 @@
 
     /** Enqueues a message; false if the connection is closed or its mailbox is full. */
     boolean enqueueIfRoom(OutboundMessage message) {
-        if (pendingCount.get() >= limits.connections().mailbox()) {
+        if (outbound.pendingCount() >= limits.connections().mailbox()) {
             return false;
         }
         return enqueue(message);
@@ -212,20 +202,32 @@
         if (closed) {
             return false;
         }
-        pendingCount.incrementAndGet();
-        messages.add(message);
+        outbound.add(message);
         scheduleFlush();
         return true;
     }
 
     /** Enqueues bytes regardless of the mailbox limit. */
     void send(byte[] bytes) {
-        enqueue(now -> bytes);
+        enqueue(OutboundMessage.of(bytes));
+    }
+
+    /** Withdraws a message if its turn to be written has not come yet, since it would hold its memory until then. */
+    void withdraw(OutboundMessage message) {
+        outbound.remove(message);
+    }
+
+    /**
+     * Whether a message of this size may wait for the peer. It always may while the budget has room. Beyond that, only a
+     * message of the size of one result may, and only if the peer accepts what it is sent. Safe for any thread.
+     */
+    boolean mayWait(long bytes) {
+        return !unsentBudget.isExceeded() || outbound.blockedSince() == 0 && bytes <= limits.engines().resultBytes();
     }
 
     /** Whether all enqueued messages have been passed to the operating system. */
     boolean isFlushed() {
-        return pendingCount.get() == 0;
+        return outbound.pendingCount() == 0;
     }
 
     /**
@@ -283,10 +285,10 @@
             flush();
         }
         if (!closed && readyKey.isReadable()) {
-            for (int i = 0; i < MAX_READS_PER_ROUND && readNow(); i++) {
+            for (int i = 0; i < MAX_READS_PER_ROUND && !isBacklogged() && readNow(); i++) {
                 // A short read does not show that the socket is empty.
             }
-            rearmTimer();
+            flush();
         }
     }
 
@@ -316,6 +318,9 @@
         }
         long receivedAt = unreadSince > 0 ? unreadSince : loop.earliestArrival();
         ByteBuffer buffer = loop.readBuffer();
+        if (unsentBudget.isExceeded()) {
+            buffer.limit(REDUCED_READ_BYTES);
+        }
         int count;
         try {
             count = channel.read(buffer);
@@ -363,20 +368,15 @@
         }
         try {
             while (prepareNextMessage()) {
-                if (writeBlockedSince > 0 && !currentMessage.isWanted()) {
+                if (outbound.isBlockedMessageUnwanted()) {
                     closeNow("message abandoned while partially written");
                     return;
                 }
-                channel.write(currentBytes);
-                if (currentBytes.hasRemaining()) {
-                    writeBlockedSince = writeBlockedSince == 0 ? clock.micros() : writeBlockedSince;
+                if (!outbound.write(channel, clock.micros())) {
                     break;
                 }
-                currentBytes = null;
-                writeBlockedSince = 0;
-                pendingCount.decrementAndGet();
             }
-            if (finishingOutput && currentBytes == null && !closed && lingerUntil == Long.MAX_VALUE) {
+            if (finishingOutput && !outbound.isWriting() && !closed && lingerUntil == Long.MAX_VALUE) {
                 shutdownOutput();
             }
         } catch (IOException e) {
@@ -391,31 +391,15 @@
 
     /** Encodes the next message if none is being written; returns whether there are bytes to write. */
     private boolean prepareNextMessage() {
-        while (!closed && currentBytes == null) {
-            if (messages.isEmpty() || handler.isQuiescent() && !checkStillOpen()) {
+        while (!closed && !outbound.isWriting()) {
+            if (outbound.isEmpty() || handler.isQuiescent() && !checkStillOpen()) {
                 return false;
             }
-            currentMessage = messages.poll();
-            byte[] bytes = encode(currentMessage);
-            if (bytes == null) {
-                pendingCount.decrementAndGet();
-            } else {
-                currentBytes = ByteBuffer.wrap(bytes);
-            }
+            outbound.encodeNext(clock.micros());
         }
         return !closed;
     }
 
-    /** A message that fails to encode must not close the connection, and with it everything in flight there. */
-    private byte[] encode(OutboundMessage message) {
-        try {
-            return message.encode(clock.micros());
-        } catch (RuntimeException | OutOfMemoryError e) {
-            EventLoop.reportUncaught(e);
-            return null;
-        }
-    }
-
     /**
      * Checks, before the next message is written, whether the peer has closed a connection on which nothing is in flight. The
      * messages not written yet have certainly not been executed then.
@@ -438,17 +422,22 @@
         if (closed || !connected) {
             return;
         }
-        boolean paused = pendingCount.get() > READ_PAUSE_THRESHOLD_MESSAGES && currentBytes != null;
-        boolean reading = !inputClosed && !paused && ignoredBytes <= limits.connections().ignoredBytes();
+        boolean reading = !inputClosed && !isBacklogged() && ignoredBytes <= limits.connections().ignoredBytes();
         if (!reading && unreadSince == 0) {
             unreadSince = clock.micros();
         }
-        int operations = (reading ? SelectionKey.OP_READ : 0) | (currentBytes != null ? SelectionKey.OP_WRITE : 0);
+        int operations = (reading ? SelectionKey.OP_READ : 0) | (outbound.isWriting() ? SelectionKey.OP_WRITE : 0);
         if (key.interestOps() != operations) {
             key.interestOps(operations);
         }
     }
 
+    /** Whether the peer does not read, and too much waits for it to read more from it. */
+    private boolean isBacklogged() {
+        return outbound.isWriting()
+                && (outbound.pendingCount() > READ_PAUSE_THRESHOLD_MESSAGES || unsentBudget.isExceeded());
+    }
+
     /** Moves the timer to the next timeout if that is earlier than its present time. */
     private void rearmTimer() {
         if (closed || !connected) {
@@ -463,8 +452,8 @@
     }
 
     private long nextTimeoutAt() {
-        long writeStallAt = writeBlockedSince == 0 ? Long.MAX_VALUE
-                : writeBlockedSince + limits.connections().writeStallTimeout();
+        long writeStallAt = outbound.blockedSince() == 0 ? Long.MAX_VALUE
+                : outbound.blockedSince() + limits.connections().writeStallTimeout();
         long waitUntil = finishingOutput ? lingerUntil : handler.timeoutAt(lastReadAt);
         return Math.min(writeStallAt, waitUntil);
     }
@@ -480,7 +469,7 @@
     }
 
     private void handleTimeout(long now) {
-        if (writeBlockedSince > 0 && now - writeBlockedSince >= limits.connections().writeStallTimeout()) {
+        if (outbound.blockedSince() > 0 && now - outbound.blockedSince() >= limits.connections().writeStallTimeout()) {
             closeNow("write timed out: peer does not read");
         } else if (now >= lingerUntil) {
             closeNow("peer did not close its side in time");
@@ -503,7 +492,7 @@
         if (channel != null) {
             Threads.close(channel);
         }
-        messages.clear();
+        outbound.close();
         handler.onClosed(connected);
     }
 }
--- a/src/test/java/cairnline/program/EngineConnectionThreadsTest.java
+++ b/src/test/java/cairnline/program/EngineConnectionThreadsTest.java
@@ -10,6 +10,7 @@
 import cairnline.routing.Dispatcher;
 import cairnline.routing.EngineLink;
 import cairnline.routing.Limits;
+import cairnline.transport.ConnectionMemory;
 import cairnline.transport.EventLoop;
 import cairnline.transport.PooledLink;
 import cairnline.transport.RespLink;
@@ -54,7 +55,8 @@
             int threadsBefore = Thread.activeCount();
             List<EngineLink> links = new ArrayList<>();
             for (int i = 0; i < ENGINE_COUNT; i++) {
-                EngineLink link = new RespLink("e" + i, address, dispatcher, limits, loop, connectionBudget, EventSink.NONE);
+                EngineLink link = new RespLink("e" + i, address, dispatcher, limits, loop, connectionBudget,
+                        ConnectionMemory.forEngines(limits), EventSink.NONE);
                 links.add(link);
                 link.probe(reports::add);
                 Socket socket = engineServer.accept();
--- a/src/test/java/cairnline/program/MemoryTest.java
+++ b/src/test/java/cairnline/program/MemoryTest.java
@@ -16,8 +16,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -32,6 +34,10 @@
     private static final int REQUESTS_PER_CLIENT = 30;
     private static final int PAGE_BYTES = 6_000;
     private static final int STATEMENT_BYTES = 260_000;
+    private static final int GREEDY_CLIENTS = 40;
+    /** Four times what the system's buffers of one connection hold at most. */
+    private static final int GREEDY_REQUESTS = 400;
+    private static final int GREEDY_BATCH = 16;
     private static final int LARGE_FRAME_CLIENTS = 250;
     /** The greatest length of a frame, and the four bytes that hold it. */
     private static final int LARGEST_FRAME_BYTES = 262_144 + 4;
@@ -42,6 +48,8 @@
     /** An engine that answers each request with eight full pages. */
     private static final class LargeAnswerEngine implements AutoCloseable {
         private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        /** Ids of the requests of which a page was asked for. */
+        private final Set<String> served = new HashSet<>();
 
         LargeAnswerEngine() throws IOException {
             DaemonThreads.start("large answers", () -> {
@@ -52,7 +60,24 @@
             });
         }
 
-        private static void serve(Socket socket) throws IOException {
+        /** Waits until the request is served; false if the engine was closed before. */
+        synchronized boolean awaitServed(String id) throws InterruptedException {
+            while (!served.contains(id) && !server.isClosed()) {
+                wait();
+            }
+            return !server.isClosed();
+        }
+
+        synchronized int servedCount() {
+            return served.size();
+        }
+
+        private synchronized void noteServed(String id) {
+            served.add(id);
+            notifyAll();
+        }
+
+        private void serve(Socket socket) throws IOException {
             byte[] rows = new byte[PAGE_BYTES];
             Arrays.fill(rows, (byte) 'x');
             rows[1] = '\t';
@@ -69,15 +94,19 @@
             }
         }
 
-        private static void answer(Socket socket, List<byte[]> parts, byte[] rows) throws IOException {
+        private void answer(Socket socket, List<byte[]> parts, byte[] rows) throws IOException {
             String command = new String(parts.get(0), StandardCharsets.UTF_8);
             byte[] id = parts.get(1);
             byte[] emptyBody = {};
             switch (command) {
                 case "do" -> socket.getOutputStream().write(Resp.array(id, "ACK".getBytes(StandardCharsets.UTF_8),
                         "parts=8,work=1.0,peak=1".getBytes(StandardCharsets.UTF_8), rows));
-                case "page" -> socket.getOutputStream().write(Resp.array(id, "BLOCK".getBytes(StandardCharsets.UTF_8),
-                        ("part_no=" + new String(parts.get(2), StandardCharsets.UTF_8)).getBytes(StandardCharsets.UTF_8), rows));
+                case "page" -> {
+                    socket.getOutputStream().write(Resp.array(id, "BLOCK".getBytes(StandardCharsets.UTF_8),
+                            ("part_no=" + new String(parts.get(2), StandardCharsets.UTF_8)).getBytes(StandardCharsets.UTF_8),
+                            rows));
+                    noteServed(new String(id, StandardCharsets.UTF_8));
+                }
                 case "top" -> socket.getOutputStream().write(Resp.array(id, "READY".getBytes(StandardCharsets.UTF_8),
                         "report=inflight:0;util:0;x0:0;x1:0".getBytes(StandardCharsets.UTF_8), emptyBody));
                 default -> { }
@@ -85,8 +114,9 @@
         }
 
         @Override
-        public void close() throws IOException {
+        public synchronized void close() throws IOException {
             server.close();
+            notifyAll();
         }
     }
 
@@ -138,6 +168,51 @@
         }
     }
 
+    /**
+     * Guards against answers that wait for clients which go on sending but never read. The system's socket buffers hold some
+     * megabytes for each of them, so that the process has to hold answers only after that.
+     */
+    @Test
+    void survivesClientsThatKeepSendingAndNeverRead() throws Exception {
+        try (LargeAnswerEngine engine = new LargeAnswerEngine(); StandInFeed feed = new StandInFeed();
+                ManagerProcess manager = start(feed, engine)) {
+            List<Socket> connections = new ArrayList<>();
+            for (int i = 0; i < GREEDY_CLIENTS; i++) {
+                Socket socket = new Socket();
+                socket.setReceiveBufferSize(4_096);
+                socket.connect(new InetSocketAddress("127.0.0.1", manager.port()));
+                connections.add(socket);
+                int number = i + 1;
+                DaemonThreads.start("greedy", () -> sendWithoutReading(socket, number, engine));
+            }
+            int servedBefore;
+            do {
+                servedBefore = engine.servedCount();
+                assertServes(manager);
+            } while (engine.servedCount() > servedBefore + REQUESTS_PER_CLIENT);
+            for (Socket socket : connections) {
+                socket.close();
+            }
+            assertEquals(0, manager.stop(), manager.readLog());
+        }
+    }
+
+    /** Sends requests in batches, each once the last request of the batch before is served; ends with the engine. */
+    private static void sendWithoutReading(Socket socket, int number, LargeAnswerEngine engine) throws IOException {
+        try {
+            for (int stream = 1; stream <= GREEDY_REQUESTS; stream++) {
+                String id = String.format("%08x%08x", number, stream);
+                socket.getOutputStream().write(ClientFrames.request(stream,
+                        Map.of("op", "lookup", "ttl", "7000", "call", id, "work", "1.0"), "select 1".getBytes()));
+                if (stream % GREEDY_BATCH == 0 && !engine.awaitServed(id)) {
+                    return;
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Guards against connections that keep the buffer of their largest frame: 250 of those exceed the heap. */
     @Test
     void survivesClientsThatStayConnectedAfterTheirLargestFrame() throws Exception {
--- a/src/test/java/cairnline/program/ODataProtocolFixture.java
+++ b/src/test/java/cairnline/program/ODataProtocolFixture.java
@@ -1,14 +1,15 @@
 package cairnline.program;
 
+import cairnline.logs.EventSink;
+import cairnline.membership.ListedEngine;
+import cairnline.pools.ConnectionBudget;
 import cairnline.protocol.HttpDecoder;
 import cairnline.protocol.HttpMessage;
 import cairnline.protocol.ODataModel;
-import cairnline.pools.ConnectionBudget;
-import cairnline.logs.EventSink;
 import cairnline.routing.Clock;
 import cairnline.routing.Dispatcher;
 import cairnline.routing.EngineLink;
-import cairnline.membership.ListedEngine;
+import cairnline.transport.ConnectionMemory;
 import cairnline.transport.HttpLink;
 import cairnline.transport.Listener;
 import cairnline.transport.ODataFront;
@@ -47,7 +48,7 @@
     @Override
     public EngineLink createLink(ListedEngine engine, Dispatcher dispatcher, Configuration configuration, Clock clock) {
         return new HttpLink(Configuration.parseAddress("dial", engine.address()), dispatcher, configuration.limits(),
-                loop.get(configuration, clock), connections);
+                loop.get(configuration, clock), connections, ConnectionMemory.forEngines(configuration.limits()));
     }
 
     @Override
@@ -56,7 +57,7 @@
                 Math.min(maxClients, configuration.limits().clients().connections()), configuration.limits(),
                 loop.get(configuration, clock), EventSink.NONE);
         front = new ODataFront(listener, dispatcher, MODEL, configuration.clientTimeouts(), configuration.limits(),
-                EventSink.NONE);
+                ConnectionMemory.forClients(configuration.limits()), EventSink.NONE);
         front.start();
         return listener.port();
     }
--- a/src/test/java/cairnline/program/PlatformProtocolFixture.java
+++ b/src/test/java/cairnline/program/PlatformProtocolFixture.java
@@ -1,14 +1,15 @@
 package cairnline.program;
 
+import cairnline.logs.EventSink;
+import cairnline.membership.ListedEngine;
+import cairnline.pools.ConnectionBudget;
 import cairnline.protocol.ClientFrames;
 import cairnline.protocol.Resp;
-import cairnline.pools.ConnectionBudget;
-import cairnline.logs.EventSink;
 import cairnline.routing.Clock;
 import cairnline.routing.Dispatcher;
 import cairnline.routing.EngineLink;
-import cairnline.membership.ListedEngine;
 import cairnline.transport.ClientFront;
+import cairnline.transport.ConnectionMemory;
 import cairnline.transport.Listener;
 import cairnline.transport.PooledLink;
 import cairnline.transport.RespLink;
@@ -47,7 +48,8 @@
     @Override
     public EngineLink createLink(ListedEngine engine, Dispatcher dispatcher, Configuration configuration, Clock clock) {
         return new RespLink(engine.id(), Configuration.parseAddress("dial", engine.address()), dispatcher,
-                configuration.limits(), loop.get(configuration, clock), connections, EventSink.NONE);
+                configuration.limits(), loop.get(configuration, clock), connections,
+                ConnectionMemory.forEngines(configuration.limits()), EventSink.NONE);
     }
 
     @Override
@@ -55,7 +57,8 @@
         Listener listener = new Listener(configuration.listen(),
                 Math.min(maxClients, configuration.limits().clients().connections()), configuration.limits(),
                 loop.get(configuration, clock), EventSink.NONE);
-        front = new ClientFront(listener, dispatcher, configuration.requestClasses(), configuration.limits(), EventSink.NONE);
+        front = new ClientFront(listener, dispatcher, configuration.requestClasses(), configuration.limits(),
+                ConnectionMemory.forClients(configuration.limits()), EventSink.NONE);
         front.start();
         return listener.port();
     }
--- a/src/test/java/cairnline/transport/TcpConnectionTest.java
+++ b/src/test/java/cairnline/transport/TcpConnectionTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cairnline.pools.MemoryBudget;
 import cairnline.routing.Clock;
 import cairnline.routing.Limits;
 import java.io.IOException;
@@ -30,6 +31,7 @@
 
     private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
     private final Recorder handler = new Recorder();
+    private final MemoryBudget unsent = new MemoryBudget(2 * LARGE_MESSAGE_BYTES);
     private ServerSocket server;
     private EventLoop loop;
     private TcpConnection connection;
@@ -74,7 +76,7 @@
         server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
         loop = new EventLoop("test", 1 << 18, new Clock());
         loop.start();
-        connection = TcpConnection.unconnected(loop, limits, handler);
+        connection = TcpConnection.unconnected(loop, limits, unsent, handler);
         connection.connect(new InetSocketAddress("127.0.0.1", server.getLocalPort()));
         remote = server.accept();
         remote.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
@@ -104,11 +106,14 @@
 
     @Test
     void writesMessagesInOrderWhenOneEnqueuesAnother() throws Exception {
-        connection.enqueue(now -> {
-            connection.send(new byte[] {3});
-            return new byte[] {1};
+        // On the loop's thread, so that the first message is not encoded before the second one is enqueued.
+        loop.execute(() -> {
+            connection.enqueue(now -> {
+                connection.send(new byte[] {3});
+                return new byte[] {1};
+            });
+            connection.send(new byte[] {2});
         });
-        connection.send(new byte[] {2});
         assertArrayEquals(new byte[] {1, 2, 3}, read(3));
     }
 
@@ -165,10 +170,61 @@
         assertEquals("read 1", nextEvent());
     }
 
+    /** Guards against messages for peers that read nothing filling the heap uncounted, and against counts that stay. */
+    @Test
+    void countsUnsentMessagesUntilTheyAreWrittenOrDropped() throws Exception {
+        connection.send(new byte[LARGE_MESSAGE_BYTES]);
+        connection.send(new byte[LARGE_MESSAGE_BYTES]);
+        awaitSubmittedTasks();
+        assertTrue(unsent.heldBytes() >= 2 * LARGE_MESSAGE_BYTES, () -> unsent.heldBytes() + " bytes held");
+        assertTrue(unsent.isExceeded());
+        assertFalse(connection.mayWait(1), "the peer reads nothing");
+        read(2 * LARGE_MESSAGE_BYTES);
+        awaitSubmittedTasks();
+        assertEquals(0, unsent.heldBytes());
+        assertTrue(connection.mayWait(LARGE_MESSAGE_BYTES));
+        connection.send(new byte[LARGE_MESSAGE_BYTES]);
+        awaitSubmittedTasks();
+        connection.close();
+        assertEquals("closed true", nextEvent());
+        assertFalse(connection.enqueue(now -> new byte[1]));
+        assertEquals(0, unsent.heldBytes());
+    }
+
+    /** Guards against one read of many small messages, each of which is answered, passing the limit on unsent answers. */
+    @Test
+    void readsNothingFromAPeerThatDoesNotReadWhileTheUnsentBudgetIsExceeded() throws Exception {
+        connection.send(new byte[2 * LARGE_MESSAGE_BYTES]);
+        awaitSubmittedTasks();
+        remote.getOutputStream().write(7);
+        awaitSubmittedTasks();
+        awaitSubmittedTasks();
+        assertTrue(events.isEmpty(), events::toString);
+        read(2 * LARGE_MESSAGE_BYTES);
+        assertEquals("read 1", nextEvent());
+    }
+
+    /** Guards against a message that is no longer needed holding its memory until the peer reads. */
+    @Test
+    void releasesAMessageThatIsWithdrawnBeforeItsTurn() throws Exception {
+        connection.send(new byte[2 * LARGE_MESSAGE_BYTES]);
+        awaitSubmittedTasks();
+        long heldBefore = unsent.heldBytes();
+        OutboundQueue.OutboundMessage withdrawn = OutboundQueue.OutboundMessage.of(new byte[LARGE_MESSAGE_BYTES]);
+        connection.enqueue(withdrawn);
+        connection.withdraw(withdrawn);
+        assertEquals(heldBefore, unsent.heldBytes());
+        connection.send(new byte[] {9});
+        byte[] received = read(2 * LARGE_MESSAGE_BYTES + 1);
+        assertEquals(9, received[2 * LARGE_MESSAGE_BYTES]);
+        awaitSubmittedTasks();
+        assertTrue(connection.isFlushed());
+    }
+
     @Test
     void closesInsteadOfCompletingCancelledMessage() throws Exception {
         AtomicBoolean wanted = new AtomicBoolean(true);
-        connection.enqueue(new TcpConnection.OutboundMessage() {
+        connection.enqueue(new OutboundQueue.OutboundMessage() {
             @Override
             public byte[] encode(long now) {
                 return new byte[LARGE_MESSAGE_BYTES];
@@ -200,7 +256,7 @@
     @Test
     void closesConnectionToPeerThatFloodsAfterOutputIsFinished() throws Exception {
         Limits limits = TestLimits.withLinger(TestLimits.allOf(1 << 26, MAILBOX_MESSAGES), 1_000, 1);
-        TcpConnection lingering = TcpConnection.unconnected(loop, limits, handler);
+        TcpConnection lingering = TcpConnection.unconnected(loop, limits, unsent, handler);
         lingering.connect(new InetSocketAddress("127.0.0.1", server.getLocalPort()));
         try (Socket floodingRemote = server.accept()) {
             lingering.finishOutput();
@@ -219,11 +275,13 @@
     void distinguishesRefusedConnectionFromLocalFailure() throws Exception {
         int port = server.getLocalPort();
         server.close();
-        TcpConnection refused = TcpConnection.unconnected(loop, TestLimits.allOf(1 << 26, MAILBOX_MESSAGES), handler);
+        TcpConnection refused = TcpConnection.unconnected(loop, TestLimits.allOf(1 << 26, MAILBOX_MESSAGES), unsent,
+                handler);
         refused.connect(new InetSocketAddress("127.0.0.1", port));
         assertEquals("unreachable REFUSED", nextEvent());
         assertEquals("closed false", nextEvent());
-        TcpConnection unresolved = TcpConnection.unconnected(loop, TestLimits.allOf(1 << 26, MAILBOX_MESSAGES), handler);
+        TcpConnection unresolved = TcpConnection.unconnected(loop, TestLimits.allOf(1 << 26, MAILBOX_MESSAGES), unsent,
+                handler);
         unresolved.connect(InetSocketAddress.createUnresolved("unreadable", 0));
         assertEquals("unreachable LOCAL", nextEvent());
     }
