Release a request with its answer instead of at its deadline

Cause: the dispatcher's timers for an overdue answer and for an attempt's timeout held the request, and with it its statement, until the deadline, an hour at most. In the same way a command that waited behind a blocked one was held by the connection's queue after its attempt had been cancelled.

Change: Timers can cancel a task; an answer cancels the first timer, the end of an attempt the second. RespConnection withdraws the message of an attempt that is cancelled before it is written.

--- a/src/main/java/cairnline/routing/Dispatcher.java
+++ b/src/main/java/cairnline/routing/Dispatcher.java
@@ -98,8 +98,19 @@
         this.actor = new Actor("core", mailbox, mailbox, limits.routing().stackBytes(), clock, this);
     }
 
-    /** An attempt in flight: its request and its engine, which is null if the engine is not listed. */
-    private record InFlight(OpenRequest request, EngineRegistry.Entry engine) { }
+    /** An attempt in flight. */
+    private static final class InFlight {
+        final OpenRequest request;
+        /** Null if the engine is not listed. */
+        final EngineRegistry.Entry engine;
+        /** Gives the attempt up at its deadline; null if it is not under way. */
+        Timers.Timer timeout;
+
+        InFlight(OpenRequest request, EngineRegistry.Entry engine) {
+            this.request = request;
+            this.engine = engine;
+        }
+    }
 
     // ---- For other threads ----
 
@@ -271,7 +282,7 @@
         unanswered.put(request, open);
         unansweredByClientId.put(request.id(), open);
         trace.step("taken", request, "", now, request.type());
-        timers.schedule(deadline + limits.routing().answerMargin() / 2, () -> answerOverdue(open));
+        open.overdueTimer = timers.schedule(deadline + limits.routing().answerMargin() / 2, () -> answerOverdue(open));
         boolean isOrdered = request.orderingKey() != null;
         callModule(() -> control.onRequest(moduleNow(), new ControlApi.Request(open.id, request.type(), "", isOrdered,
                 isOrdered ? request.orderingKey() : 0, Clock.toModuleNanos(Math.max(1, deadline - now)),
@@ -330,6 +341,7 @@
 
     private void close(OpenRequest open) {
         open.answered = true;
+        timers.cancel(open.overdueTimer);
         unanswered.remove(open.request);
         unansweredByClientId.remove(open.request.id(), open);
         open.inFlight.forEach(Attempt::markUnwanted);
@@ -350,6 +362,7 @@
         if (finished == null) {
             return;
         }
+        timers.cancel(finished.timeout);
         OpenRequest open = finished.request;
         open.attemptEnded(attempt, result.status());
         attempt.markUnwanted();
@@ -401,12 +414,13 @@
         if (engine != null) {
             engine.attemptStarted();
         }
-        attemptsInFlight.put(attempt, new InFlight(open, engine));
+        InFlight inFlight = new InFlight(open, engine);
+        attemptsInFlight.put(attempt, inFlight);
         trace.step("sent", open.request, engineId, now, Integer.toString(attempt.number()));
         if (open.answered || open.detached || engine == null || attemptDeadline <= now) {
             timers.schedule(now, () -> finishAttempt(attempt, Attempt.Result.of(AttemptStatus.NOT_SENT)));
         } else if (engine.link().send(attempt)) {
-            timers.schedule(attemptDeadline, () -> giveUp(attempt, AttemptStatus.TIMEOUT));
+            inFlight.timeout = timers.schedule(attemptDeadline, () -> giveUp(attempt, AttemptStatus.TIMEOUT));
         } else {
             timers.schedule(now, () -> finishAttempt(attempt, Attempt.Result.of(AttemptStatus.FULL)));
         }
--- a/src/main/java/cairnline/routing/OpenRequest.java
+++ b/src/main/java/cairnline/routing/OpenRequest.java
@@ -18,6 +18,8 @@
     final List<Attempt> attempts = new ArrayList<>(2);
     final List<Attempt> inFlight = new ArrayList<>(2);
     int priority = 1;
+    /** Answers the request if nothing else has by then. */
+    Timers.Timer overdueTimer;
     boolean answered;
     /** Whether no further attempt may start, since the client sends nothing more. */
     boolean detached;
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -68,11 +68,13 @@
     }
 
     /** An attempt on this connection, with the pages received so far. */
-    private static final class Exchange {
+    private final class Exchange {
         final Attempt attempt;
         final PagedResult result;
         /** Whether the command has been passed on to be written, so that the engine may execute it. */
         boolean written;
+        /** The message that sends the attempt. */
+        final AttemptMessage message = new AttemptMessage(this);
 
         Exchange(Attempt attempt, PagedResult result) {
             this.attempt = attempt;
@@ -147,7 +149,7 @@
             }
             exchanges.put(id, exchange);
         }
-        if (!connection.enqueueIfRoom(new AttemptMessage(exchange))) {
+        if (!connection.enqueueIfRoom(exchange.message)) {
             synchronized (this) {
                 // If the connection was closed in between, onClosed has already reported this attempt.
                 return !exchanges.remove(id, exchange);
@@ -208,16 +210,20 @@
     @Override
     public void cancel(Attempt attempt) {
         String id = attempt.request().id();
+        Exchange cancelled;
         boolean written;
         synchronized (this) {
             if (!isInFlight(attempt)) {
                 return;
             }
-            written = exchanges.remove(id).written;
+            cancelled = exchanges.remove(id);
+            written = cancelled.written;
             abandonedIds.put(id, Boolean.TRUE);
         }
         if (written) {
             connection.send(Resp.stringArray("undo", id));
+        } else {
+            connection.withdraw(cancelled.message);
         }
     }
 
--- a/src/test/java/cairnline/program/MemoryTest.java
+++ b/src/test/java/cairnline/program/MemoryTest.java
@@ -6,6 +6,7 @@
 import cairnline.protocol.ClientFrames;
 import cairnline.protocol.Resp;
 import cairnline.standin.StandInFeed;
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -34,6 +35,8 @@
     private static final int REQUESTS_PER_CLIENT = 30;
     private static final int PAGE_BYTES = 6_000;
     private static final int STATEMENT_BYTES = 260_000;
+    /** Their statements together exceed the heap. */
+    private static final int LARGE_REQUESTS = 300;
     private static final int GREEDY_CLIENTS = 40;
     /** Four times what the system's buffers of one connection hold at most. */
     private static final int GREEDY_REQUESTS = 400;
@@ -129,10 +132,10 @@
         return manager;
     }
 
-    private static byte[] largestFrame(Map<String, String> fields) {
-        byte[] statement = new byte[LARGEST_FRAME_BYTES - ClientFrames.request(1, fields, new byte[0]).length];
+    private static byte[] largestFrame(int stream, Map<String, String> fields) {
+        byte[] statement = new byte[LARGEST_FRAME_BYTES - ClientFrames.request(stream, fields, new byte[0]).length];
         Arrays.fill(statement, (byte) 'x');
-        return ClientFrames.request(1, fields, statement);
+        return ClientFrames.request(stream, fields, statement);
     }
 
     private static void assertServes(ManagerProcess manager) throws Exception {
@@ -213,12 +216,32 @@
         }
     }
 
+    /** Guards against timers that hold a request until its deadline, however early it was answered. */
+    @Test
+    void survivesLargeRequestsThatAreAnsweredLongBeforeTheirDeadline() throws Exception {
+        try (LargeAnswerEngine engine = new LargeAnswerEngine(); StandInFeed feed = new StandInFeed();
+                ManagerProcess manager = start(feed, engine); Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress("127.0.0.1", manager.port()));
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+            DataInputStream answers = new DataInputStream(socket.getInputStream());
+            for (int stream = 1; stream <= LARGE_REQUESTS; stream++) {
+                socket.getOutputStream().write(largestFrame(stream, Map.of("op", "lookup", "ttl", "3600000",
+                        "call", String.format("%016x", stream), "work", "1.0")));
+                byte[] answer = new byte[answers.readInt()];
+                answers.readFully(answer);
+                assertEquals(ClientFrames.CODE_SERVED, answer[5], manager.readLog());
+            }
+            assertServes(manager);
+            assertEquals(0, manager.stop(), manager.readLog());
+        }
+    }
+
     /** Guards against connections that keep the buffer of their largest frame: 250 of those exceed the heap. */
     @Test
     void survivesClientsThatStayConnectedAfterTheirLargestFrame() throws Exception {
         try (LargeAnswerEngine engine = new LargeAnswerEngine(); StandInFeed feed = new StandInFeed();
                 ManagerProcess manager = start(feed, engine)) {
-            byte[] frame = largestFrame(Map.of("op", "no-such-class", "ttl", "7000", "call", "00000000000000ff"));
+            byte[] frame = largestFrame(1, Map.of("op", "no-such-class", "ttl", "7000", "call", "00000000000000ff"));
             List<Socket> connections = new ArrayList<>();
             for (int i = 0; i < LARGE_FRAME_CLIENTS; i++) {
                 Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), manager.port());
