Count OData requests that wait for their turn, and the parts of batches

Callers see: on a connection up to 32 OData requests of 1 MB may be pipelined, each kept whole until its turn; 100 answers of 1 MB may be kept for a batch. No limit counted either, so a few connections can fill the heap. Found by reading; not played on a process.

Cause: heldBytes counted only what the decoder had not decoded yet; a decoded request, its copy for the engine, the requests and the answers of a batch were in no account.

Change: a session counts a request from when it is decoded until its answer is encoded (twice, for the copy that goes to the engine), a batch's requests and answers with it. Without room the body is discarded and the request refused in its turn (503); an answer to a part of a batch without room becomes a failure (502).

--- a/src/main/java/cairnline/protocol/ODataBatch.java
+++ b/src/main/java/cairnline/protocol/ODataBatch.java
@@ -62,6 +62,11 @@
         return items;
     }
 
+    /** Returns an estimate of the bytes of memory that the requests hold. */
+    public long heldBytes() {
+        return items.stream().mapToLong(item -> item.request().heldBytes()).sum();
+    }
+
     /** Returns whether the client prefers that requests after a failed one are still processed. */
     public boolean continueOnError() {
         return continueOnError;
--- a/src/main/java/cairnline/transport/ODataBatchExecution.java
+++ b/src/main/java/cairnline/transport/ODataBatchExecution.java
@@ -116,7 +116,8 @@
         ODataCall[] call = new ODataCall[1];
         call[0] = new ODataCall(session.front(), requests[index], receivedAt, answer -> session.runInOrder(() -> {
             session.removeCall(call[0]);
-            answers[index] = answer;
+            answers[index] = session.holdForRequest(answer.heldBytes()) ? answer
+                    : ODataModel.error(502, "too many answers are held");
             startReadyRequests();
         }));
         session.startCall(call[0]);
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -1,5 +1,6 @@
 package cairnline.transport;
 
+import cairnline.pools.MemoryBudget;
 import cairnline.protocol.HttpDecoder;
 import cairnline.protocol.HttpMessage;
 import cairnline.protocol.ODataBatch;
@@ -21,6 +22,8 @@
 final class ODataSession implements Listener.Session, TcpConnection.Handler {
     /** A request received just before the end of the input may still be sent to an engine for this long. */
     private static final long DETACH_DELAY_MICROS = 10_000;
+    /** A request is held as it was received, and once more as it is encoded for an engine. */
+    private static final int COPIES_OF_REQUEST = 2;
 
     private final ODataFront front;
     private final SocketChannel channel;
@@ -43,9 +46,19 @@
     private boolean outputFinished;
     private boolean closed;
     private final ClientActivity activity;
+    /** The memory of the requests that are not answered yet, and of the answers to the parts of a batch. */
+    private final MemoryBudget.Account requestMemory;
+    /** The part of {@link #requestMemory} that the request being served holds. */
+    private long servedRequestBytes;
     private Runnable closeListener;
 
-    private record ReceivedRequest(HttpMessage request, long receivedAt) { }
+    /**
+     * A request that waits for its turn.
+     *
+     * @param heldBytes the bytes counted for it
+     * @param refused whether there was no memory for it; its body was discarded then
+     */
+    private record ReceivedRequest(HttpMessage request, long receivedAt, long heldBytes, boolean refused) { }
 
     ODataSession(SocketChannel channel, ODataFront front) {
         this.channel = channel;
@@ -54,6 +67,7 @@
                 this);
         this.decoder = new HttpDecoder(front.limits().http().headBytes(), front.limits().http().bodyBytes());
         this.activity = new ClientActivity(front);
+        this.requestMemory = front.memory().received().openAccount();
     }
 
     @Override
@@ -112,8 +126,9 @@
             boolean complete = false;
             for (HttpMessage request = decoder.next(); request != null; request = decoder.next()) {
                 complete = true;
+                activity.setHeldBytes(decoder.heldBytes());
                 unansweredCount.incrementAndGet();
-                ReceivedRequest received = new ReceivedRequest(request, receivedAt);
+                ReceivedRequest received = admit(request, receivedAt);
                 connection.enqueue(now -> queueRequest(received));
             }
             activity.onRead(receivedAt, complete, decoder.hasPartialInput());
@@ -125,6 +140,30 @@
         }
     }
 
+    /** Counts the memory of a request; if there is none left, only its head is kept, to refuse it when its turn has come. */
+    private ReceivedRequest admit(HttpMessage request, long receivedAt) {
+        long bytes = request.heldBytes() * COPIES_OF_REQUEST;
+        if (requestMemory.add(bytes)) {
+            return new ReceivedRequest(request, receivedAt, bytes, false);
+        }
+        HttpMessage head = request.withBody(new byte[0]);
+        requestMemory.add(head.heldBytes() - bytes);
+        return new ReceivedRequest(head, receivedAt, head.heldBytes(), true);
+    }
+
+    /**
+     * Counts memory that the request being served holds until it is answered; on the event loop. Returns false if there is
+     * none left, in which case nothing is counted.
+     */
+    boolean holdForRequest(long bytes) {
+        if (!requestMemory.add(bytes)) {
+            requestMemory.add(-bytes);
+            return false;
+        }
+        servedRequestBytes += bytes;
+        return true;
+    }
+
     /** Ignores all further input, and closes the connection after the open answers and {@code error}, which may be null. */
     private void closeInput(HttpMessage error) {
         if (!inputIgnored) {
@@ -183,6 +222,7 @@
         openCalls.forEach(ODataCall::abandon);
         openCalls.clear();
         queuedRequests.clear();
+        requestMemory.close();
         discardInput();
         closeListener.run();
     }
@@ -191,6 +231,7 @@
         queuedRequests.addLast(received);
         if (queuedRequests.size() > front.limits().clients().openRequests()) {
             queuedRequests.removeLast();
+            requestMemory.add(-received.heldBytes());
             unansweredCount.decrementAndGet();
             closeInput(ODataModel.error(429, "too many requests wait on this connection"));
             return null;
@@ -205,14 +246,21 @@
             return null;
         }
         serving = true;
+        servedRequestBytes = received.heldBytes();
         HttpMessage request = received.request();
         try {
+            if (received.refused()) {
+                return completeRequest(request, ODataModel.error(503, "too much is open").withHeader("retry-after", "1"));
+            }
             HttpMessage document = findDocument(request);
             if (document != null) {
                 return completeRequest(request, document);
             }
             if (path(request).equals("/$batch")) {
                 ODataBatch batch = ODataBatch.read(request, front.limits().http().batchRequests());
+                if (!holdForRequest(batch.heldBytes() * COPIES_OF_REQUEST)) {
+                    throw new ODataException(503, "too much is open");
+                }
                 new ODataBatchExecution(batch, this, received.receivedAt()).start(answer -> sendAnswer(request, answer));
                 return null;
             }
@@ -281,6 +329,8 @@
     /** Encodes the answer to the current request, and schedules the next request or the end of the connection. */
     private byte[] completeRequest(HttpMessage request, HttpMessage answer) {
         serving = false;
+        requestMemory.add(-servedRequestBytes);
+        servedRequestBytes = 0;
         unansweredCount.decrementAndGet();
         activity.onAnswered(front.clock().micros());
         boolean isLast = request.closesConnection() || front.isStopping();
