Count partial and finished results of engines until clients have them

Callers see: pages of unfinished results (48,000 bytes each, for up to 4,096 requests), OData answers (1 MB on each of hundreds of connections, 64 pages of 1 MB as parsed JSON) and results on their way to the dispatcher were counted nowhere; engines that stop in the middle of their answers could fill the heap. Found by reading; not played on a process.

Cause: limits bounded one result, page or body, never all of them together. A closed connection kept its decoder's buffer and ids for as long as its pool kept the connection.

Change: engines.heldBytes (16 MB) counts decoders, pages and results until the dispatcher has passed them on. Beyond it, an attempt whose result is not complete ends as failed with the page that found no room (RESP, with forget), or with more than one result's bytes of an answer (OData, its connection closes). ODataPages keeps bodies and parses them when they are joined. A connection that has ended discards its buffers.

Tests: ConnectionMemoryTest#pagesOfAnUnfinishedResult... and #partialODataAnswer... failed without the change (0 bytes held) and pass now.

--- a/src/main/java/cairnline/protocol/ODataPages.java
+++ b/src/main/java/cairnline/protocol/ODataPages.java
@@ -12,17 +12,21 @@
     private static final String NEXT_LINK_SHORT = "@nextLink";
 
     private HttpMessage firstPage;
-    private Map<String, Object> joined;
-    private List<Object> rows;
+    /** The bodies of the pages after the first; they are joined when all have arrived, since parsed rows take far more memory. */
+    private final List<byte[]> furtherPages = new ArrayList<>();
+    private long heldBytes;
 
     /** Adds a page and returns the request target of the next page, or null if this is the last one. */
     public String addPage(HttpMessage page) {
         if (firstPage != null) {
             Map<String, Object> nextPage = Json.object(page.body());
-            rows.addAll(Json.asList(nextPage.get("value"), "value"));
+            Json.asList(nextPage.get("value"), "value");
+            furtherPages.add(page.body());
+            heldBytes += page.body().length;
             return nextTarget(nextPage);
         }
         firstPage = page;
+        heldBytes = page.heldBytes();
         boolean paged = page.header("content-type").startsWith("application/json")
                 && new String(page.body(), StandardCharsets.UTF_8).contains("nextLink\"");
         if (!paged) {
@@ -31,18 +35,30 @@
         Map<String, Object> root = Json.object(page.body());
         String nextTarget = nextTarget(root);
         if (nextTarget != null) {
-            joined = new LinkedHashMap<>(root);
-            joined.remove(NEXT_LINK);
-            joined.remove(NEXT_LINK_SHORT);
-            rows = new ArrayList<>(Json.asList(root.get("value"), "value"));
-            joined.put("value", rows);
+            Json.asList(root.get("value"), "value");
         }
         return nextTarget;
     }
 
+    /** Returns the number of bytes of memory held for the pages. */
+    public long heldBytes() {
+        return heldBytes;
+    }
+
     /** Returns the response with the rows of all pages; a response of a single page is returned byte for byte. */
     public HttpMessage join() {
-        return joined == null ? firstPage : firstPage.withBody(Json.write(joined));
+        if (furtherPages.isEmpty()) {
+            return firstPage;
+        }
+        Map<String, Object> joined = new LinkedHashMap<>(Json.object(firstPage.body()));
+        joined.remove(NEXT_LINK);
+        joined.remove(NEXT_LINK_SHORT);
+        List<Object> rows = new ArrayList<>(Json.asList(joined.get("value"), "value"));
+        for (byte[] page : furtherPages) {
+            rows.addAll(Json.asList(Json.object(page).get("value"), "value"));
+        }
+        joined.put("value", rows);
+        return firstPage.withBody(Json.write(joined));
     }
 
     private static String nextTarget(Map<String, Object> page) {
--- a/src/main/java/cairnline/protocol/Resp.java
+++ b/src/main/java/cairnline/protocol/Resp.java
@@ -14,7 +14,9 @@
     private final ByteQueue bytes = new ByteQueue();
     private final int maxParts;
     private final int maxPartBytes;
+    /** The parts received of the current array, and their total size. */
     private final List<byte[]> parts = new ArrayList<>();
+    private int partsBytes;
     /** Parts of the current array that have not been received; -1 between arrays. */
     private int missingParts = -1;
     /** Size of the current part in bytes; -1 until it has been received. */
@@ -48,6 +50,7 @@
                 return null;
             }
             parts.add(bytes.take(partSize));
+            partsBytes += partSize;
             if (bytes.unsignedByte(0) != '\r' || bytes.unsignedByte(1) != '\n') {
                 throw new ProtocolException("bulk string is not terminated by CR LF");
             }
@@ -58,9 +61,24 @@
         missingParts = -1;
         List<byte[]> array = List.copyOf(parts);
         parts.clear();
+        partsBytes = 0;
         return array;
     }
 
+    /** Returns the number of bytes of memory held for the array that has not been received completely. */
+    public int heldBytes() {
+        return bytes.heldBytes() + partsBytes;
+    }
+
+    /** Discards all received input; to be called when no more input is used. */
+    public void discardInput() {
+        bytes.clear();
+        parts.clear();
+        partsBytes = 0;
+        missingParts = -1;
+        partSize = -1;
+    }
+
     /** Returns whether an incomplete array has been received. */
     public boolean hasPartialInput() {
         return missingParts >= 0 || bytes.size() > 0;
--- a/src/main/java/cairnline/routing/Dispatcher.java
+++ b/src/main/java/cairnline/routing/Dispatcher.java
@@ -162,7 +162,15 @@
 
     /** Reports the end of an attempt. */
     public void attemptEnded(Attempt attempt, Attempt.Result result) {
-        actor.put(() -> finishAttempt(attempt, result));
+        attemptEnded(attempt, result, () -> { });
+    }
+
+    /** Reports the end of an attempt; {@code taken} runs once the result has been passed on, and is not held here any more. */
+    public void attemptEnded(Attempt attempt, Attempt.Result result, Runnable taken) {
+        actor.put(() -> {
+            finishAttempt(attempt, result);
+            taken.run();
+        });
     }
 
     /** Reports a status update of an attempt in flight. */
--- a/src/main/java/cairnline/transport/HttpConnection.java
+++ b/src/main/java/cairnline/transport/HttpConnection.java
@@ -1,6 +1,7 @@
 package cairnline.transport;
 
 import cairnline.control.ControlApi.AttemptStatus;
+import cairnline.pools.MemoryBudget;
 import cairnline.protocol.HttpDecoder;
 import cairnline.protocol.HttpMessage;
 import cairnline.protocol.ODataPages;
@@ -28,6 +29,10 @@
     private final Limits limits;
     private final TcpConnection connection;
     private final HttpDecoder decoder;
+    /** The memory of the partial answer and of {@link #pages}. */
+    private final MemoryBudget.Account answerMemory;
+    /** The memory of results that wait for the dispatcher; it outlives the connection. */
+    private final MemoryBudget.Account resultMemory;
     /** The attempt in flight, or null; guarded by this object's lock, like the next two fields. */
     private Attempt attempt;
     /** Whether the request has been passed on to be written, so that the engine may execute it. */
@@ -44,6 +49,8 @@
         this.dispatcher = dispatcher;
         this.limits = limits;
         this.connection = TcpConnection.unconnected(loop, limits, memory.unsent(), this);
+        this.answerMemory = memory.received().openAccount();
+        this.resultMemory = memory.received().openAccount();
         this.decoder = new HttpDecoder(limits.http().headBytes(), limits.http().bodyBytes());
     }
 
@@ -129,6 +136,10 @@
             for (HttpMessage answer = decoder.next(); answer != null; answer = decoder.next()) {
                 handleAnswer(answer);
             }
+            if (!answerMemory.set(decoder.heldBytes() + pages.heldBytes())
+                    && answerMemory.heldBytes() > limits.engines().resultBytes()) {
+                failAttempt();
+            }
         } catch (ProtocolException e) {
             synchronized (this) {
                 closed = true;
@@ -178,6 +189,20 @@
         }
     }
 
+    /** Ends the attempt since there is no memory for its answer; the connection is of no use with half an answer unread. */
+    private void failAttempt() {
+        Attempt failed;
+        synchronized (this) {
+            failed = attempt;
+            attempt = null;
+            closed = true;
+        }
+        if (failed != null) {
+            dispatcher.attemptEnded(failed, Attempt.Result.of(AttemptStatus.ERROR));
+        }
+        close();
+    }
+
     private synchronized Attempt currentAttempt() {
         return attempt;
     }
@@ -192,7 +217,8 @@
             closed |= answer.closesConnection();
         }
         if (ended != null) {
-            dispatcher.attemptEnded(ended, result);
+            resultMemory.add(result.rows().length);
+            dispatcher.attemptEnded(ended, result, () -> resultMemory.add(-result.rows().length));
         }
         if (answer.closesConnection()) {
             close();
@@ -219,6 +245,9 @@
             lost = attempt;
             attempt = null;
         }
+        decoder.discardInput();
+        pages = new ODataPages();
+        answerMemory.close();
         if (lost != null) {
             AttemptStatus status = requestWritten ? AttemptStatus.RESET
                     : wasConnected ? AttemptStatus.NOT_SENT : AttemptStatus.CONNECT_FAILED;
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -3,6 +3,7 @@
 import cairnline.control.ControlApi.AttemptStatus;
 import cairnline.control.ControlApi.StatusKind;
 import cairnline.membership.Evidence;
+import cairnline.pools.MemoryBudget;
 import cairnline.protocol.EngineMessage;
 import cairnline.protocol.PagedResult;
 import cairnline.protocol.ProtocolException;
@@ -36,6 +37,11 @@
     private final Limits limits;
     private final TcpConnection connection;
     private final Resp decoder;
+    private final MemoryBudget.Account decoderMemory;
+    /** The memory of the pages received for {@link #exchanges}. */
+    private final MemoryBudget.Account pageMemory;
+    /** The memory of results that wait for the dispatcher; it outlives the connection. */
+    private final MemoryBudget.Account resultMemory;
     /** The attempts in flight, by request id. */
     private final Map<String, Exchange> exchanges = new HashMap<>();
     /** Ids of attempts that ended before their complete answer, which may therefore still arrive; the oldest are evicted. */
@@ -63,6 +69,9 @@
         this.dispatcher = dispatcher;
         this.limits = limits;
         this.connection = TcpConnection.unconnected(loop, limits, memory.unsent(), this);
+        this.decoderMemory = memory.received().openAccount();
+        this.pageMemory = memory.received().openAccount();
+        this.resultMemory = memory.received().openAccount();
         this.decoder = new Resp(MAX_ANSWER_PARTS, limits.engines().partBytes());
         this.lastReceivedAt = loop.clock().micros();
     }
@@ -216,7 +225,7 @@
             if (!isInFlight(attempt)) {
                 return;
             }
-            cancelled = exchanges.remove(id);
+            cancelled = removeExchange(id);
             written = cancelled.written;
             abandonedIds.put(id, Boolean.TRUE);
         }
@@ -233,6 +242,13 @@
         }
     }
 
+    /** Removes an exchange with its pages; with the lock held. */
+    private Exchange removeExchange(String id) {
+        Exchange removed = exchanges.remove(id);
+        pageMemory.add(-removed.result.size());
+        return removed;
+    }
+
     private synchronized boolean isInFlight(Attempt attempt) {
         Exchange exchange = exchanges.get(attempt.request().id());
         return exchange != null && exchange.attempt == attempt;
@@ -291,6 +307,7 @@
             for (List<byte[]> parts = decoder.next(); parts != null; parts = decoder.next()) {
                 handleMessage(EngineMessage.parse(parts));
             }
+            decoderMemory.set(decoder.heldBytes());
         } catch (ProtocolException e) {
             // Message boundaries are lost from here on; closing the connection ends the attempts in flight on it.
             synchronized (this) {
@@ -358,8 +375,15 @@
 
     private void storePage(Exchange exchange, int page, byte[] rows) {
         PagedResult result = exchange.result;
-        result.put(page, rows);
-        if (result.size() > limits.engines().resultBytes()) {
+        boolean fits;
+        synchronized (this) {
+            if (!isInFlight(exchange.attempt)) {
+                return;
+            }
+            result.put(page, rows);
+            fits = pageMemory.add(rows.length) || result.isComplete();
+        }
+        if (!fits || result.size() > limits.engines().resultBytes()) {
             endEarly(exchange, Attempt.Result.of(AttemptStatus.ERROR));
         } else if (result.isComplete()) {
             endAttempt(exchange, new Attempt.Result(AttemptStatus.OK, result.join(), result.work(), result.memory()));
@@ -385,15 +409,17 @@
     private void endAttempt(Exchange exchange, Attempt.Result result) {
         synchronized (this) {
             String id = exchange.attempt.request().id();
-            if (!exchanges.remove(id, exchange)) {
+            if (exchanges.get(id) != exchange) {
                 return;
             }
+            removeExchange(id);
             if (result.status() != AttemptStatus.OK || !exchange.result.isComplete()) {
                 // The next attempt of the request has the same id, and must not receive an answer to this one that still arrives.
                 abandonedIds.put(id, Boolean.TRUE);
             }
         }
-        dispatcher.attemptEnded(exchange.attempt, result);
+        resultMemory.add(result.rows().length);
+        dispatcher.attemptEnded(exchange.attempt, result, () -> resultMemory.add(-result.rows().length));
     }
 
     @Override
@@ -431,7 +457,11 @@
             openProbes = new ArrayList<>(probes.values());
             exchanges.clear();
             probes.clear();
+            abandonedIds.clear();
         }
+        decoder.discardInput();
+        decoderMemory.close();
+        pageMemory.close();
         if (!inFlight.isEmpty()) {
             link.log().info("engine.left", "connection closed with attempts in flight", "engine", link.engine(), "cause",
                     connection.closeCause(), "out", inFlight.stream().map(exchange -> exchange.attempt.request().id())
--- a/src/test/java/cairnline/program/ConnectionMemoryTest.java
+++ b/src/test/java/cairnline/program/ConnectionMemoryTest.java
@@ -209,4 +209,40 @@
         }
         awaitHeldBytes(clientMemory.received(), bytes -> bytes == 0);
     }
+
+    @Test
+    void pagesOfAnUnfinishedResultAreCountedAndTheAttemptFailsOnceTheBudgetIsExceeded() throws Exception {
+        try (Socket client = connectToClientFront(startDispatcher(this::respLink))) {
+            client.getOutputStream().write(lookup());
+            try (Socket engine = engineServer.accept()) {
+                Commands commands = new Commands(engine);
+                commands.await("do");
+                engine.getOutputStream().write(page("ACK", "parts=8,work=1.0,peak=1"));
+                commands.await("page");
+                awaitHeldBytes(engineMemory.received(), bytes -> bytes == PAGE_BYTES);
+                engine.getOutputStream().write(page("BLOCK", "part_no=1"));
+                engine.getOutputStream().write(page("BLOCK", "part_no=2"));
+                awaitHeldBytes(engineMemory.received(), bytes -> bytes == 3 * PAGE_BYTES);
+                engine.getOutputStream().write(page("BLOCK", "part_no=3"));
+                commands.await("forget");
+                awaitHeldBytes(engineMemory.received(), bytes -> bytes == 0);
+            }
+        }
+    }
+
+    @Test
+    void partialODataAnswerIsCountedAndItsAttemptFailsOnceTheBudgetIsExceeded() throws Exception {
+        try (Socket client = connectToODataFront(startDispatcher(this::httpLink))) {
+            client.getOutputStream().write(readRequest(0));
+            try (Socket engine = engineServer.accept()) {
+                engine.setSoTimeout(TIMEOUT_MILLIS);
+                engine.getInputStream().read();
+                engine.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n0123456789"
+                        .getBytes(StandardCharsets.US_ASCII));
+                awaitHeldBytes(engineMemory.received(), bytes -> bytes > 0);
+                engine.getOutputStream().write(new byte[BODY_BYTES]);
+                awaitHeldBytes(engineMemory.received(), bytes -> bytes == 0);
+            }
+        }
+    }
 }
