Bound the windows of the decision module that nobody sums

Cause: SlidingWindow discarded old amounts only when it was summed. ProbeBudget sums its requests when a probe is due, and the retry budget when a retry is decided, neither of which need ever happen.

Change: a window knows its length and discards what is older when it adds.

--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -32,8 +32,6 @@
     private static final long ANSWER_MARGIN_NANOS = 30 * MILLI_NANOS;
     /** Keyed retries stop this long before the deduplication window ends: the request still has to travel. */
     private static final long KEY_MARGIN_NANOS = 250 * MILLI_NANOS;
-    /** Events this near the edge of the retry window count as inside or outside, whichever is stricter. */
-    private static final long EDGE_TOLERANCE_NANOS = 20 * MILLI_NANOS;
     /** Weight of the newest delay in a geometric mean: one query's size must not sway it much. */
     private static final double DELAY_SMOOTHING = 0.1;
     /** Minimum and step of the concurrency limit, and the load ratio of light classes from which it falls. */
@@ -95,9 +93,9 @@
     private final Map<String, Query> queries = new HashMap<>();
     private final Map<Long, KeyQueue> keyQueues = new LinkedHashMap<>();
     private final TreeSet<Query> unsent = new TreeSet<>(Query.BY_DEADLINE);
-    private final SlidingWindow recentRequests = new SlidingWindow(), recentRetries = new SlidingWindow();
+    private final RetryBudget retryBudget;
     private final Map<String, Double> tenantShares = new HashMap<>();
-    private final SlidingWindow allRequests = new SlidingWindow();
+    private final SlidingWindow allRequests = new SlidingWindow(SHARE_WINDOW_NANOS);
     private final Map<String, SlidingWindow> tenantRequests = new HashMap<>();
     private final Set<Attempt> attemptsInFlight = new LinkedHashSet<>();
     private long now, sequence, limitUpdatedAt, resumedAt, capacityUpdatedAt;
@@ -113,6 +111,7 @@
         this.startedAt = now;
         this.sampleSize = Math.max(MIN_SAMPLE,
                 (int) Math.round((double) TOTAL_SAMPLE / settings.frontCount()));
+        this.retryBudget = new RetryBudget(settings.safetyRules());
         this.probeBudget = new ProbeBudget(settings.probeCost(), now, random.split());
         this.now = now;
         for (RequestClassSettings each : settings.requestClasses()) {
@@ -146,16 +145,7 @@
     private boolean attemptAllowed(Query query) {
         return query.attempts.size() < settings.permissions().maxAttempts()
                 && (query.attemptsInFlight == 0 || settings.permissions().concurrentAttempts())
-                && (query.attempts.isEmpty() || retryBudgetLeft());
-    }
-
-    /** Takes both edges of the window at their stricter end: the limit holds wherever it is measured. */
-    private boolean retryBudgetLeft() {
-        SafetyRules rules = settings.safetyRules();
-        long since = now - rules.retryWindow();
-        return rules.retryAllowance() < 0 || recentRetries.sumSince(since - EDGE_TOLERANCE_NANOS) + 1
-                <= rules.retryAllowance()
-                + rules.retriesPerRequest() * recentRequests.sumSince(since + EDGE_TOLERANCE_NANOS);
+                && (query.attempts.isEmpty() || retryBudget.hasRoom(now));
     }
 
     private boolean isKeyTurn(Query query) {
@@ -265,9 +255,7 @@
         requestClass.longestTimeout = Math.max(requestClass.longestTimeout, request.timeout());
         query.overTenantShare = recordAndCheckTenantShare(request.tenant());
         queries.put(query.id, query);
-        if (settings.safetyRules().retryAllowance() >= 0) {
-            recentRequests.add(now, 1);
-        }
+        retryBudget.recordRequest(now);
         unsent.add(query);
         if (requestClass.settings.serialByKey() && request.hasKey()) {
             query.keyQueue = keyQueues.computeIfAbsent(request.key(), KeyQueue::new);
@@ -308,7 +296,8 @@
     /** Counts a request; returns whether its tenant's part of this front's traffic is well over its share. */
     private boolean recordAndCheckTenantShare(String tenant) {
         allRequests.add(now, 1);
-        SlidingWindow ownRequests = tenantRequests.computeIfAbsent(tenant, name -> new SlidingWindow());
+        SlidingWindow ownRequests =
+                tenantRequests.computeIfAbsent(tenant, name -> new SlidingWindow(SHARE_WINDOW_NANOS));
         ownRequests.add(now, 1);
         long since = now - SHARE_WINDOW_NANOS;
         return ownRequests.sumSince(since)
@@ -423,9 +412,7 @@
         unsent.remove(query);
         query.requestClass.heldQueries.remove(query);
         if (!query.attempts.isEmpty()) {
-            if (settings.safetyRules().retryAllowance() >= 0) {
-                recentRetries.add(now, 1);
-            }
+            retryBudget.recordRetry(now);
         } else {
             query.requestClass.meanWait += RequestClass.CLASS_SMOOTHING
                     * (now - query.arrivedAt - query.requestClass.meanWait);
@@ -464,7 +451,7 @@
     private boolean mayCancelForRetry(Query query) {
         return !query.closed && query.requestClass.settings.retrySafety() != RetrySafety.UNSAFE
                 && settings.permissions().cancel()
-                && query.attempts.size() < settings.permissions().maxAttempts() && retryBudgetLeft();
+                && query.attempts.size() < settings.permissions().maxAttempts() && retryBudget.hasRoom(now);
     }
 
     // ---- Held queries ----
--- a/src/main/java/cairnline/control/EngineEstimate.java
+++ b/src/main/java/cairnline/control/EngineEstimate.java
@@ -30,6 +30,8 @@
 
     final FleetLoad fleetLoad;
     final List<Predictor> predictors = new ArrayList<>();
+    /** Work sent while the engine was cold. */
+    final SlidingWindow coldWork;
     EngineHealth health = new EngineHealth();
     RelativeSlowness slowness = new RelativeSlowness();
     /** Times of the last load report, of the next random draw while cold, and of the next probe. */
@@ -43,6 +45,7 @@
         super(entry, settings.machineTypes().get(entry.machineType()));
         this.fleetLoad = fleetLoad;
         this.frontShare = 1.0 / settings.frontCount();
+        this.coldWork = new SlidingWindow(settings.safetyRules().overloadWindow());
         settings.requestClasses().forEach(each -> predictors.add(new Predictor()));
     }
 
--- a/src/main/java/cairnline/control/EngineState.java
+++ b/src/main/java/cairnline/control/EngineState.java
@@ -21,8 +21,6 @@
     final long placementSeed;
     /** Number of this front's loads that lock each table group here. */
     final Map<Integer, Integer> locks = new HashMap<>();
-    /** Work sent while the engine was cold. */
-    final SlidingWindow coldWork = new SlidingWindow();
     EngineStatus status = EngineStatus.READY;
     long startedAt;
     /** Unless true, the engine may take as long to warm up as the safety rules allow. */
--- a/src/main/java/cairnline/control/ProbeBudget.java
+++ b/src/main/java/cairnline/control/ProbeBudget.java
@@ -28,7 +28,7 @@
 
     private final double probesPerRequest;
     private final SplittableRandom random;
-    private final SlidingWindow requests = new SlidingWindow();
+    private final SlidingWindow requests = new SlidingWindow(REQUEST_WINDOW_NANOS);
     private final long startedAt;
 
     /** {@code cost} is the part of the requests' worth that a probe for each request costs; 0 if probes are free. */
