Count stream numbers and the ids of ended attempts on long connections

Callers see: a client that uses scattered stream numbers made its connection hold 1,024 tree entries (some 90 KB, 30 MB for all connections); a connection to an engine held up to 4,096 ids of attempts that had ended early (some 450 KB). Neither was counted. Found by reading; not played on a process.

--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -35,7 +35,7 @@
     private final ClientFront front;
     private final TcpConnection connection;
     private final ClientFrames frames;
-    private final UsedStreams usedStreams = new UsedStreams();
+    private UsedStreams usedStreams = new UsedStreams();
     private final ClientActivity activity;
     /** Unanswered requests by stream; guarded by this session's lock, like {@link #draining}. */
     private final Map<Long, Request> openRequests = new HashMap<>();
@@ -119,8 +119,14 @@
         }
     }
 
+    /** Returns the memory held for what was received, without open requests. */
+    private long receivedBytes() {
+        return frames.heldBytes() + usedStreams.heldBytes();
+    }
+
     private void discardInput() {
         frames.discardInput();
+        usedStreams = new UsedStreams();
         activity.setHeldBytes(0);
     }
 
@@ -137,13 +143,13 @@
             boolean complete = false;
             for (Frame frame = frames.next(); frame != null; frame = frames.next()) {
                 complete = true;
-                activity.setHeldBytes(frames.heldBytes());
+                activity.setHeldBytes(receivedBytes());
                 handleFrame(frame, receivedAt);
             }
             activity.onRead(receivedAt, complete, frames.hasPartialInput());
-            if (!activity.setHeldBytes(frames.heldBytes())) {
+            if (!activity.setHeldBytes(receivedBytes())) {
                 frames.dropPartialPayload();
-                activity.setHeldBytes(frames.heldBytes());
+                activity.setHeldBytes(receivedBytes());
             }
         } catch (ProtocolException e) {
             stopReading(e.getMessage());
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -44,15 +44,8 @@
     private final MemoryBudget.Account resultMemory;
     /** The attempts in flight, by request id. */
     private final Map<String, Exchange> exchanges = new HashMap<>();
-    /** Ids of attempts that ended before their complete answer, which may therefore still arrive; the oldest are evicted. */
-    private final Map<String, Boolean> abandonedIds = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > limits.routing().openRequests();
-        }
-    };
+    /** Ids of attempts that ended before their complete answer, which may therefore still arrive. */
+    private final AbandonedIds abandonedIds;
     private final Map<String, Probe> probes = new HashMap<>();
     private long nextProbeNumber;
     private boolean closed;
@@ -72,6 +65,7 @@
         this.decoderMemory = memory.received().openAccount();
         this.pageMemory = memory.received().openAccount();
         this.resultMemory = memory.received().openAccount();
+        this.abandonedIds = new AbandonedIds(limits.routing().openRequests(), memory.received());
         this.decoder = new Resp(MAX_ANSWER_PARTS, limits.engines().partBytes());
         this.lastReceivedAt = loop.clock().micros();
     }
@@ -144,7 +138,7 @@
     /** Whether a request with this id may start here: there is a free stream, and no answer to the same id may still arrive. */
     synchronized boolean canStart(String id) {
         return !closed && exchanges.size() < limits.engines().streamsPerConnection() && !exchanges.containsKey(id)
-                && !abandonedIds.containsKey(id);
+                && !abandonedIds.contains(id);
     }
 
     /** Enqueues an attempt; false if the connection is closed or its mailbox is full. */
@@ -227,7 +221,7 @@
             }
             cancelled = removeExchange(id);
             written = cancelled.written;
-            abandonedIds.put(id, Boolean.TRUE);
+            abandonedIds.add(id);
         }
         if (written) {
             connection.send(Resp.stringArray("undo", id));
@@ -415,7 +409,7 @@
             removeExchange(id);
             if (result.status() != AttemptStatus.OK || !exchange.result.isComplete()) {
                 // The next attempt of the request has the same id, and must not receive an answer to this one that still arrives.
-                abandonedIds.put(id, Boolean.TRUE);
+                abandonedIds.add(id);
             }
         }
         resultMemory.add(result.rows().length);
@@ -457,7 +451,7 @@
             openProbes = new ArrayList<>(probes.values());
             exchanges.clear();
             probes.clear();
-            abandonedIds.clear();
+            abandonedIds.close();
         }
         decoder.discardInput();
         decoderMemory.close();
