Release a statement when its client has gone, not when its last attempt ends

Callers see: a client that sent large requests and went, or took them back, left their statements on the heap until engines had ended their attempts, seconds later where engines hang; heldBytes had released them when the client went. Found by reading.

Cause: the session took a request off the count, while the dispatcher and the attempts in flight still referred to it.

Change: Statement holds the bytes; the dispatcher releases it when a request is answered or abandoned, since attempts that are in flight then have been sent or never will be, and only that release takes it off the count. A link reads the bytes before it checks that the attempt may start, so none is sent without its statement. The log tells of an exceeded budget (clients.memory).

Tests: ConnectionMemoryTest#statementIsReleasedWithItsClientWhileTheAttemptIsStillAtTheEngine and #statementsAreCountedUntilTheirClientHasGone, which fail without the release in the dispatcher (20 s, 100,000 bytes still held).

--- a/src/main/java/cairnline/routing/Dispatcher.java
+++ b/src/main/java/cairnline/routing/Dispatcher.java
@@ -276,13 +276,13 @@
             Answer answer = refusal != null ? Answer.refused(refusal, limits.routing().retryAfter())
                     : Answer.refused(NO_ENGINE_REASON, retryAfter);
             trace.step("answered", request, "", now, answer.kind() + " " + answer.reason());
-            request.front().answer(request, answer);
+            answerUnopened(request, answer);
             return;
         }
         OpenRequest sameId = unansweredByClientId.get(request.id());
         if (sameId != null && !request.isRepeatedBy(sameId.request)) {
             // Engines know requests by this id alone: they could answer one with the rows of the other.
-            request.front().answer(request, Answer.failed("its id is that of another request that is open", false));
+            answerUnopened(request, Answer.failed("its id is that of another request that is open", false));
             return;
         }
         OpenRequest open = new OpenRequest("q" + requestCount++, request, deadline);
@@ -297,6 +297,11 @@
                 Clock.toModuleNanos(request.work()), request.memory(), request.tableGroup(), false)));
     }
 
+    private static void answerUnopened(Request request, Answer answer) {
+        request.statement().release();
+        request.front().answer(request, answer);
+    }
+
     private void handleAbandon(Request request) {
         OpenRequest open = unanswered.get(request);
         if (open == null) {
@@ -353,6 +358,7 @@
         unanswered.remove(open.request);
         unansweredByClientId.remove(open.request.id(), open);
         open.inFlight.forEach(Attempt::markUnwanted);
+        open.request.statement().release();
         removeIfComplete(open);
     }
 
--- a/src/main/java/cairnline/routing/Request.java
+++ b/src/main/java/cairnline/routing/Request.java
@@ -1,6 +1,5 @@
 package cairnline.routing;
 
-import java.util.Arrays;
 import java.util.Objects;
 
 /**
@@ -19,10 +18,10 @@
  * @param front receives the answer
  * @param interest whether the client still waits for the answer
  */
-public record Request(String id, String type, byte[] statement, String idempotencyKey, Long orderingKey, long receivedAt,
+public record Request(String id, String type, Statement statement, String idempotencyKey, Long orderingKey, long receivedAt,
                       long timeout, long work, double memory, int tableGroup, Front front, Interest interest) {
     /** Creates a request whose client waits for the answer. */
-    public Request(String id, String type, byte[] statement, String idempotencyKey, Long orderingKey, long receivedAt,
+    public Request(String id, String type, Statement statement, String idempotencyKey, Long orderingKey, long receivedAt,
                    long timeout, long work, double memory, int tableGroup, Front front) {
         this(id, type, statement, idempotencyKey, orderingKey, receivedAt, timeout, work, memory, tableGroup, front,
                 new Interest());
@@ -57,7 +56,7 @@
 
     /** Whether another request with the same id is a repetition of this one, as a client may send on a new connection. */
     boolean isRepeatedBy(Request other) {
-        return type.equals(other.type) && Arrays.equals(statement, other.statement)
+        return type.equals(other.type) && statement.hasSameBytes(other.statement)
                 && Objects.equals(idempotencyKey, other.idempotencyKey) && Objects.equals(orderingKey, other.orderingKey);
     }
 }
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -1,6 +1,5 @@
 package cairnline.transport;
 
-import cairnline.pools.MemoryBudget;
 import cairnline.protocol.ClientFrames;
 import cairnline.protocol.ClientFrames.Content;
 import cairnline.protocol.ClientFrames.Frame;
@@ -10,6 +9,7 @@
 import cairnline.routing.Answer;
 import cairnline.routing.Clock;
 import cairnline.routing.Request;
+import cairnline.routing.Statement;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -39,8 +39,6 @@
     private final ClientActivity activity;
     /** Unanswered requests by stream; guarded by this session's lock, like {@link #draining}. */
     private final Map<Long, Request> openRequests = new HashMap<>();
-    /** The memory of {@link #openRequests}. */
-    private final MemoryBudget.Account openRequestMemory;
     private boolean draining;
     private Runnable closeListener;
     private int invalidRequestCount;
@@ -52,7 +50,6 @@
                 this);
         this.frames = new ClientFrames(front.limits().clients().frameBytes());
         this.activity = new ClientActivity(front);
-        this.openRequestMemory = front.memory().received().openAccount();
     }
 
     @Override
@@ -148,6 +145,7 @@
             }
             activity.onRead(receivedAt, complete, frames.hasPartialInput());
             if (!activity.setHeldBytes(receivedBytes())) {
+                front.reportMemoryExceeded();
                 frames.dropPartialPayload();
                 activity.setHeldBytes(receivedBytes());
             }
@@ -228,7 +226,6 @@
             front.log().info("client.left", "connection closed with requests open", "peer", connection.address(),
                     "cause", connection.closeCause(), "open", requestIds(unanswered));
         }
-        openRequestMemory.close();
         unanswered.forEach(front.dispatcher()::abandon);
         discardInput();
         closeListener.run();
@@ -252,11 +249,7 @@
 
     /** Removes and returns the open request of a stream; null if there is none. */
     private synchronized Request removeOpenRequest(long stream) {
-        Request request = openRequests.remove(stream);
-        if (request != null) {
-            openRequestMemory.add(-request.statement().length);
-        }
-        return request;
+        return openRequests.remove(stream);
     }
 
     private void handleFrame(Frame frame, long receivedAt) {
@@ -308,8 +301,10 @@
     }
 
     private void submit(long stream, Request request) {
-        if (!openRequestMemory.add(request.statement().length)) {
-            openRequestMemory.add(-request.statement().length);
+        long statementBytes = request.statement().bytes().length;
+        if (!front.statementMemory().add(statementBytes)) {
+            front.statementMemory().add(-statementBytes);
+            front.reportMemoryExceeded();
             connection.send(textAnswer(stream, ClientFrames.CODE_REFUSED, "too much is open"));
             return;
         }
@@ -330,7 +325,9 @@
         if (requirements.needsOrderingKey() && message.orderingKey() == null) {
             throw new ProtocolException("row is missing for class " + message.type());
         }
-        return new Request(message.id(), message.type(), message.statement(),
+        long statementBytes = message.statement().length;
+        Statement statement = new Statement(message.statement(), () -> front.statementMemory().add(-statementBytes));
+        return new Request(message.id(), message.type(), statement,
                 requirements.needsIdempotencyKey() ? message.idempotencyKey() : null,
                 requirements.needsOrderingKey() ? message.orderingKey() : null, receivedAt, Clock.ofMillis(message.ttlMs()),
                 message.workMicros(), message.memory(), message.tableGroup(), (request, answer) -> sendAnswer(stream, answer));
@@ -345,12 +342,20 @@
             return;
         }
         activity.onAnswered(front.clock().micros());
-        connection.send(connection.mayWait(answer.rows().length) ? encode(stream, answer)
-                : textAnswer(stream, ClientFrames.CODE_FAILED, "too many answers wait to be read"));
+        connection.send(encode(stream, answer));
         finishIfAnswered();
     }
 
-    private static byte[] encode(long stream, Answer answer) {
+    /** Encodes an answer; a failure instead, if there is no memory to keep its rows until the client reads them. */
+    private byte[] encode(long stream, Answer answer) {
+        if (!connection.mayWait(answer.rows().length)) {
+            front.reportMemoryExceeded();
+            return textAnswer(stream, ClientFrames.CODE_FAILED, "too many answers wait to be read");
+        }
+        return encodeAnswer(stream, answer);
+    }
+
+    private static byte[] encodeAnswer(long stream, Answer answer) {
         int code = switch (answer.kind()) {
             case SERVED -> ClientFrames.CODE_SERVED;
             case REFUSED -> ClientFrames.CODE_REFUSED;
--- a/src/main/java/cairnline/transport/HttpConnection.java
+++ b/src/main/java/cairnline/transport/HttpConnection.java
@@ -88,6 +88,7 @@
 
     /** Encodes the request when its turn to be written has come; null if it must not be sent any more. */
     private byte[] encodeRequest(Attempt newAttempt, long now) {
+        byte[] statement = newAttempt.request().statement().bytes();
         boolean allowed = now <= link.sendDeadline() && now < newAttempt.deadline() && newAttempt.mayStart();
         synchronized (this) {
             if (attempt != newAttempt) {
@@ -102,7 +103,7 @@
             dispatcher.attemptEnded(newAttempt, Attempt.Result.of(AttemptStatus.NOT_SENT));
             return null;
         }
-        return withHost(HttpMessage.parse(newAttempt.request().statement()));
+        return withHost(HttpMessage.parse(statement));
     }
 
     private byte[] withHost(HttpMessage request) {
--- a/src/main/java/cairnline/transport/ODataCall.java
+++ b/src/main/java/cairnline/transport/ODataCall.java
@@ -7,6 +7,7 @@
 import cairnline.routing.Answer;
 import cairnline.routing.Clock;
 import cairnline.routing.Request;
+import cairnline.routing.Statement;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -39,7 +40,7 @@
         long timeout = odataRequest.waitMs() > 0 ? Math.min(maxTimeout, Clock.ofMillis(odataRequest.waitMs()))
                 : maxTimeout;
         this.request = new Request(String.format("%016x", CALL_COUNTER.incrementAndGet()), odataRequest.type(),
-                odataRequest.forwarded().encode(), odataRequest.idempotencyKey(),
+                new Statement(odataRequest.forwarded().encode(), () -> { }), odataRequest.idempotencyKey(),
                 odataRequest.write() ? orderingKeyHash(odataRequest.orderingKey()) : null, receivedAt, timeout, 0, 0,
                 odataRequest.set().tableGroup(), (request, answer) -> onAnswer.accept(toHttp(answer)));
     }
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -133,6 +133,7 @@
             }
             activity.onRead(receivedAt, complete, decoder.hasPartialInput());
             if (!activity.setHeldBytes(decoder.heldBytes())) {
+                front.reportMemoryExceeded();
                 closeInput(ODataModel.error(503, "too much has begun and not ended").withHeader("retry-after", "1"));
             }
         } catch (ProtocolException e) {
@@ -146,6 +147,7 @@
         if (requestMemory.add(bytes)) {
             return new ReceivedRequest(request, receivedAt, bytes, false);
         }
+        front.reportMemoryExceeded();
         HttpMessage head = request.withBody(new byte[0]);
         requestMemory.add(head.heldBytes() - bytes);
         return new ReceivedRequest(head, receivedAt, head.heldBytes(), true);
@@ -158,6 +160,7 @@
     boolean holdForRequest(long bytes) {
         if (!requestMemory.add(bytes)) {
             requestMemory.add(-bytes);
+            front.reportMemoryExceeded();
             return false;
         }
         servedRequestBytes += bytes;
@@ -300,8 +303,12 @@
     }
 
     private void sendAnswer(HttpMessage request, HttpMessage answer) {
-        connection.enqueue(new AnswerMessage(request, connection.mayWait(answer.heldBytes()) ? answer
-                : ODataModel.error(502, "too many answers wait to be read")));
+        boolean mayWait = connection.mayWait(answer.heldBytes());
+        if (!mayWait) {
+            front.reportMemoryExceeded();
+        }
+        connection.enqueue(new AnswerMessage(request,
+                mayWait ? answer : ODataModel.error(502, "too many answers wait to be read")));
     }
 
     /** The message that completes the current request. */
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -184,6 +184,7 @@
     private byte[] encodeCommand(Exchange exchange, long now) {
         Attempt attempt = exchange.attempt;
         Request request = attempt.request();
+        byte[] statement = request.statement().bytes();
         boolean allowed = now <= link.sendDeadline() && now < attempt.deadline() && attempt.mayStart();
         synchronized (this) {
             if (exchanges.get(request.id()) != exchange) {
@@ -206,7 +207,7 @@
             fields.put("replay", request.idempotencyKey());
         }
         fields.put("rank", Integer.toString(attempt.priority()));
-        return Resp.array(utf8("do"), utf8(request.id()), utf8(Resp.fields(fields)), request.statement());
+        return Resp.array(utf8("do"), utf8(request.id()), utf8(Resp.fields(fields)), statement);
     }
 
     /** Cancels the attempt, at the engine too if it was sent; an answer that still arrives is ignored. */
--- a/src/main/java/cairnline/transport/SocketFront.java
+++ b/src/main/java/cairnline/transport/SocketFront.java
@@ -1,20 +1,27 @@
 package cairnline.transport;
 
 import cairnline.logs.EventSink;
+import cairnline.pools.MemoryBudget;
 import cairnline.routing.Clock;
 import cairnline.routing.Dispatcher;
 import cairnline.routing.Limits;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Base of the client-facing servers: a listener whose sessions pass their requests to the dispatcher. */
 public abstract class SocketFront {
+    private static final long MEMORY_REPORT_INTERVAL_MICROS = 1_000_000;
+
     private final Listener listener;
     private final Dispatcher dispatcher;
     private final Limits limits;
     private final EventSink log;
     private final ConnectionMemory memory;
+    /** The memory of the statements of open requests, which may outlive their connections. */
+    private final MemoryBudget.Account statementMemory;
+    private final AtomicLong memoryReportedAt = new AtomicLong();
     private volatile boolean stopping;
 
     SocketFront(Listener listener, Dispatcher dispatcher, Limits limits, ConnectionMemory memory, EventSink log) {
@@ -22,6 +29,7 @@
         this.dispatcher = dispatcher;
         this.limits = limits;
         this.memory = memory;
+        this.statementMemory = memory.received().openAccount();
         this.log = log;
     }
 
@@ -62,6 +70,21 @@
         return memory;
     }
 
+    /** Logs that a memory budget is exceeded, at most once a second. Safe for any thread. */
+    void reportMemoryExceeded() {
+        long now = clock().micros();
+        long previous = memoryReportedAt.get();
+        if (now - previous >= MEMORY_REPORT_INTERVAL_MICROS && memoryReportedAt.compareAndSet(previous, now)) {
+            log.warn("clients.memory", "a memory budget of the clients is exceeded", "receivedBytes",
+                    memory.received().heldBytes(), "unsentBytes", memory.unsent().heldBytes());
+        }
+    }
+
+    /** Returns the account of the statements of open requests. */
+    MemoryBudget.Account statementMemory() {
+        return statementMemory;
+    }
+
     boolean isStopping() {
         return stopping;
     }
--- a/src/test/java/cairnline/program/ConnectionMemoryTest.java
+++ b/src/test/java/cairnline/program/ConnectionMemoryTest.java
@@ -14,6 +14,8 @@
 import cairnline.routing.Dispatcher;
 import cairnline.routing.EngineLink;
 import cairnline.routing.Limits;
+import cairnline.routing.Request;
+import cairnline.routing.Statement;
 import cairnline.transport.ClientFront;
 import cairnline.transport.ConnectionMemory;
 import cairnline.transport.EventLoop;
@@ -31,6 +33,7 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
 import org.junit.jupiter.api.AfterEach;
@@ -230,6 +233,37 @@
         }
     }
 
+    /** Guards against requests whose client has gone being held, uncounted, until an engine that hangs is given up. */
+    @Test
+    void statementIsReleasedWithItsClientWhileTheAttemptIsStillAtTheEngine() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        Dispatcher dispatcher = startDispatcher(this::respLink);
+        Statement statement = new Statement(new byte[BODY_BYTES], released::countDown);
+        Request request = new Request("00000000000000ff", "lookup", statement, null, null, clock.micros(),
+                Clock.ofMillis(7_000), 1_000, 0, -1, (answered, answer) -> { });
+        dispatcher.submit(request);
+        try (Socket engine = engineServer.accept()) {
+            new Commands(engine).await("do");
+            assertEquals(BODY_BYTES, statement.bytes().length, "a retry may need it");
+            dispatcher.abandon(request);
+            assertTrue(released.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            assertEquals(0, statement.bytes().length);
+        }
+    }
+
+    @Test
+    void statementsAreCountedUntilTheirClientHasGone() throws Exception {
+        Socket client = connectToClientFront(startDispatcher(this::respLink));
+        client.getOutputStream().write(ClientFrames.request(1, Map.of("op", "lookup", "ttl", "7000",
+                "call", "00000000000000ff", "work", "1.0"), new byte[BODY_BYTES]));
+        try (Socket engine = engineServer.accept()) {
+            new Commands(engine).await("do");
+            awaitHeldBytes(clientMemory.received(), bytes -> bytes == BODY_BYTES);
+            client.close();
+            awaitHeldBytes(clientMemory.received(), bytes -> bytes == 0);
+        }
+    }
+
     @Test
     void partialODataAnswerIsCountedAndItsAttemptFailsOnceTheBudgetIsExceeded() throws Exception {
         try (Socket client = connectToODataFront(startDispatcher(this::httpLink))) {
