Leave refusals and failures as they are for clients that read nothing

Cause: over clients.unsentBytes every answer to a blocked client became a failure, so that a refusal, which says that a new try is harmless, did too; and OData requests dropped behind a last answer stayed counted until the connection closed.

Change: only served answers become failures; dropped requests are taken off the count.

--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -348,7 +348,7 @@
 
     /** Encodes an answer; a failure instead, if there is no memory to keep its rows until the client reads them. */
     private byte[] encode(long stream, Answer answer) {
-        if (!connection.mayWait(answer.rows().length)) {
+        if (answer.kind() == Answer.Kind.SERVED && !connection.mayWait(answer.rows().length)) {
             front.reportMemoryExceeded();
             return textAnswer(stream, ClientFrames.CODE_FAILED, "too many answers wait to be read");
         }
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -24,6 +24,7 @@
     private static final long DETACH_DELAY_MICROS = 10_000;
     /** A request is held as it was received, and once more as it is encoded for an engine. */
     private static final int COPIES_OF_REQUEST = 2;
+    private static final int MIN_ERROR_STATUS = 400;
 
     private final ODataFront front;
     private final SocketChannel channel;
@@ -303,7 +304,7 @@
     }
 
     private void sendAnswer(HttpMessage request, HttpMessage answer) {
-        boolean mayWait = connection.mayWait(answer.heldBytes());
+        boolean mayWait = answer.status() >= MIN_ERROR_STATUS || connection.mayWait(answer.heldBytes());
         if (!mayWait) {
             front.reportMemoryExceeded();
         }
@@ -348,6 +349,7 @@
             outputFinished = true;
             connection.ignoreInput();
             discardInput();
+            queuedRequests.forEach(queued -> requestMemory.add(-queued.heldBytes()));
             queuedRequests.clear();
             connection.finishOutput();
             return versioned.withHeader("connection", "close").encode();
