Read a client's input before its attempt is written; time the soak at the socket

Change: the preloaded library records when the system has taken a command; all written attempts are checked, also those that reach no engine, and stalls of the test's process are no longer subtracted. Before an attempt is written, its client's socket is read unless it was read empty within 10 ms. A short write is continued at once. The notice to a half-closed client is repeated while it has requests open. Scenario steps that close a socket wait for the thread that reads it.

--- a/src/main/java/cairnline/routing/Attempt.java
+++ b/src/main/java/cairnline/routing/Attempt.java
@@ -76,8 +76,12 @@
         return wanted && request.isWaitedFor();
     }
 
-    /** Whether the attempt may still be sent to the engine. Safe to call on any thread. */
-    public boolean mayStart() {
+    /**
+     * Whether the attempt may be sent to the engine now. What the client has sent by now is taken into account, so this must
+     * not be called with a lock held.
+     */
+    public boolean confirmMayStart() {
+        request.front().readClientInput(request);
         return wanted && request.mayStartAttempt();
     }
 
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -8,6 +8,7 @@
 import cairnline.protocol.UsedStreams;
 import cairnline.routing.Answer;
 import cairnline.routing.Clock;
+import cairnline.routing.Front;
 import cairnline.routing.Request;
 import cairnline.routing.Statement;
 import java.io.IOException;
@@ -23,11 +24,8 @@
  * session drains: it accepts no further requests and closes the connection after the last open request is answered.
  */
 final class ClientSession implements Listener.Session, TcpConnection.Handler {
-    /**
-     * When to repeat a notice to a client that has closed its output. If it has closed the connection entirely, it answers
-     * the first write with a reset, which makes the second write fail and so reveals the end of the connection.
-     */
-    private static final long SECOND_NOTICE_DELAY_MICROS = 20_000;
+    /** The first delay after which a notice to a client that has closed its output is repeated; doubled each time. */
+    private static final long FIRST_NOTICE_DELAY_MICROS = 20_000;
     /** A request received just before the end of the input may still be sent to an engine for this long. */
     private static final long DETACH_DELAY_MICROS = 10_000;
 
@@ -210,15 +208,26 @@
             return true;
         }
         if (openRequestCount() > 0) {
-            connection.send(ClientFrames.noMoreRequests());
-            front.loop().schedule(front.clock().micros() + SECOND_NOTICE_DELAY_MICROS, connection,
-                    () -> connection.send(ClientFrames.noMoreRequests()));
+            sendNotices(FIRST_NOTICE_DELAY_MICROS);
             scheduleDetach(since);
         }
         startDraining();
         return true;
     }
 
+    /**
+     * Tells a client that has closed its output that no more requests are taken, again and again while requests are open. Only
+     * a write reveals that it has closed the connection entirely, now or later: it answers with a reset, and the next write
+     * fails.
+     */
+    private void sendNotices(long delay) {
+        if (openRequestCount() == 0) {
+            return;
+        }
+        connection.send(ClientFrames.noMoreRequests());
+        front.loop().schedule(front.clock().micros() + delay, connection, () -> sendNotices(2 * delay));
+    }
+
     @Override
     public void onClosed(boolean wasConnected) {
         List<Request> unanswered = removeAllOpenRequests();
@@ -330,7 +339,26 @@
         return new Request(message.id(), message.type(), statement,
                 requirements.needsIdempotencyKey() ? message.idempotencyKey() : null,
                 requirements.needsOrderingKey() ? message.orderingKey() : null, receivedAt, Clock.ofMillis(message.ttlMs()),
-                message.workMicros(), message.memory(), message.tableGroup(), (request, answer) -> sendAnswer(stream, answer));
+                message.workMicros(), message.memory(), message.tableGroup(), new StreamFront(stream));
+    }
+
+    /** Receives the answer to the request of one stream. */
+    private final class StreamFront implements Front {
+        private final long stream;
+
+        StreamFront(long stream) {
+            this.stream = stream;
+        }
+
+        @Override
+        public void answer(Request request, Answer answer) {
+            sendAnswer(stream, answer);
+        }
+
+        @Override
+        public void readClientInput(Request request) {
+            connection.readIfStale();
+        }
     }
 
     /**
--- a/src/main/java/cairnline/transport/EventLoop.java
+++ b/src/main/java/cairnline/transport/EventLoop.java
@@ -72,7 +72,7 @@
     /** Submits a task to the loop's thread; tasks run in the order of submission. Safe for any thread. */
     void execute(Runnable task) {
         tasks.add(task);
-        if (Thread.currentThread() != thread && wakeupPending.compareAndSet(false, true)) {
+        if (!isCurrentThread() && wakeupPending.compareAndSet(false, true)) {
             selector.wakeup();
         }
     }
@@ -104,6 +104,11 @@
         return earliestArrival;
     }
 
+    /** Whether the caller runs on the loop's thread. */
+    boolean isCurrentThread() {
+        return Thread.currentThread() == thread;
+    }
+
     /** Returns the loop's shared read buffer, which a callback may use until it returns. */
     ByteBuffer readBuffer() {
         return readBuffer.clear();
@@ -196,7 +201,8 @@
         current.getUncaughtExceptionHandler().uncaughtException(current, failure);
     }
 
-    private static void runGuarded(Handler owner, Runnable task) {
+    /** Runs a task; what it throws is reported, and passed to the handler of the channel that it served, if any. */
+    static void runGuarded(Handler owner, Runnable task) {
         try {
             task.run();
         } catch (RuntimeException | OutOfMemoryError e) {
--- a/src/main/java/cairnline/transport/HttpConnection.java
+++ b/src/main/java/cairnline/transport/HttpConnection.java
@@ -89,7 +89,7 @@
     /** Encodes the request when its turn to be written has come; null if it must not be sent any more. */
     private byte[] encodeRequest(Attempt newAttempt, long now) {
         byte[] statement = newAttempt.request().statement().bytes();
-        boolean allowed = now <= link.sendDeadline() && now < newAttempt.deadline() && newAttempt.mayStart();
+        boolean allowed = now <= link.sendDeadline() && now < newAttempt.deadline() && newAttempt.confirmMayStart();
         synchronized (this) {
             if (attempt != newAttempt) {
                 return null;
--- a/src/main/java/cairnline/transport/ODataBatchExecution.java
+++ b/src/main/java/cairnline/transport/ODataBatchExecution.java
@@ -114,7 +114,7 @@
             }
         }
         ODataCall[] call = new ODataCall[1];
-        call[0] = new ODataCall(session.front(), requests[index], receivedAt, answer -> session.runInOrder(() -> {
+        call[0] = new ODataCall(session, requests[index], receivedAt, answer -> session.runInOrder(() -> {
             session.removeCall(call[0]);
             answers[index] = session.holdForRequest(answer.heldBytes()) ? answer
                     : ODataModel.error(502, "too many answers are held");
--- a/src/main/java/cairnline/transport/ODataCall.java
+++ b/src/main/java/cairnline/transport/ODataCall.java
@@ -6,6 +6,7 @@
 import cairnline.protocol.ProtocolException;
 import cairnline.routing.Answer;
 import cairnline.routing.Clock;
+import cairnline.routing.Front;
 import cairnline.routing.Request;
 import cairnline.routing.Statement;
 import java.nio.ByteBuffer;
@@ -23,6 +24,7 @@
     private static final AtomicLong CALL_COUNTER = new AtomicLong();
     private static final long MICROS_PER_SECOND = 1_000_000;
 
+    private final ODataSession session;
     private final ODataFront front;
     private final ODataRequest odataRequest;
     private final Request request;
@@ -32,8 +34,9 @@
      * Creates a call, not yet started. {@code onAnswer} receives the only answer, on the dispatcher's thread or from
      * {@link #refuse}.
      */
-    ODataCall(ODataFront front, ODataRequest odataRequest, long receivedAt, Consumer<HttpMessage> onAnswer) {
-        this.front = front;
+    ODataCall(ODataSession session, ODataRequest odataRequest, long receivedAt, Consumer<HttpMessage> onAnswer) {
+        this.session = session;
+        this.front = session.front();
         this.odataRequest = odataRequest;
         this.onAnswer = onAnswer;
         long maxTimeout = front.timeout(odataRequest.type());
@@ -42,7 +45,20 @@
         this.request = new Request(String.format("%016x", CALL_COUNTER.incrementAndGet()), odataRequest.type(),
                 new Statement(odataRequest.forwarded().encode(), () -> { }), odataRequest.idempotencyKey(),
                 odataRequest.write() ? orderingKeyHash(odataRequest.orderingKey()) : null, receivedAt, timeout, 0, 0,
-                odataRequest.set().tableGroup(), (request, answer) -> onAnswer.accept(toHttp(answer)));
+                odataRequest.set().tableGroup(), new CallFront());
+    }
+
+    /** Receives the answer of the dispatcher. */
+    private final class CallFront implements Front {
+        @Override
+        public void answer(Request answered, Answer answer) {
+            onAnswer.accept(toHttp(answer));
+        }
+
+        @Override
+        public void readClientInput(Request sent) {
+            session.readClientInput();
+        }
     }
 
     /** Parses an HTTP request against the model of this server. */
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -268,7 +268,7 @@
                 new ODataBatchExecution(batch, this, received.receivedAt()).start(answer -> sendAnswer(request, answer));
                 return null;
             }
-            ODataCall call = new ODataCall(front, ODataCall.read(request, front), received.receivedAt(),
+            ODataCall call = new ODataCall(this, ODataCall.read(request, front), received.receivedAt(),
                     answer -> sendAnswer(request, answer));
             startCall(call);
             return null;
@@ -281,6 +281,11 @@
         return front;
     }
 
+    /** Reads what the client has sent by now, unless that was done very recently; on the event loop. */
+    void readClientInput() {
+        connection.readIfStale();
+    }
+
     /** Runs a task on the event loop, in order with the messages written on this connection. */
     void runInOrder(Runnable task) {
         connection.enqueue(now -> {
--- a/src/main/java/cairnline/transport/OutboundQueue.java
+++ b/src/main/java/cairnline/transport/OutboundQueue.java
@@ -127,7 +127,10 @@
 
     /** Writes as much of the current message as the channel takes; returns whether the message is complete. */
     boolean write(SocketChannel channel, long now) throws IOException {
-        channel.write(currentBytes);
+        // A short or interrupted write does not show that the channel takes no more.
+        while (currentBytes.hasRemaining() && channel.write(currentBytes) != 0) {
+            continue;
+        }
         if (currentBytes.hasRemaining()) {
             blockedSince = blockedSince == 0 ? now : blockedSince;
             return false;
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -176,6 +176,8 @@
 
         @Override
         public boolean isWanted() {
+            Request request = exchange.attempt.request();
+            request.front().readClientInput(request);
             return exchange.attempt.isWanted();
         }
     }
@@ -185,7 +187,7 @@
         Attempt attempt = exchange.attempt;
         Request request = attempt.request();
         byte[] statement = request.statement().bytes();
-        boolean allowed = now <= link.sendDeadline() && now < attempt.deadline() && attempt.mayStart();
+        boolean allowed = now <= link.sendDeadline() && now < attempt.deadline() && attempt.confirmMayStart();
         synchronized (this) {
             if (exchanges.get(request.id()) != exchange) {
                 return null;
--- a/src/main/java/cairnline/transport/TcpConnection.java
+++ b/src/main/java/cairnline/transport/TcpConnection.java
@@ -26,6 +26,8 @@
     private static final int REDUCED_READ_BYTES = 1_024;
     /** Keeps one busy connection from starving the others on the loop. */
     private static final int MAX_READS_PER_ROUND = 8;
+    /** How recently a socket must have been read empty for {@link #readIfStale} to skip it. */
+    private static final long MAX_INPUT_AGE_MICROS = 10_000;
     /** Result of a channel's read at the end of the input; other negative results mean an interrupted call. */
     private static final int END_OF_INPUT = -1;
 
@@ -49,6 +51,8 @@
     private long lastReadAt;
     /** Since when received bytes may have waited in the socket; 0 if the socket was read empty. */
     private long unreadSince;
+    /** When the socket was last read empty. */
+    private long readEmptyAt;
     private boolean inputClosed;
     private boolean inputIgnored;
     private long ignoredBytes;
@@ -285,9 +289,7 @@
             flush();
         }
         if (!closed && readyKey.isReadable()) {
-            for (int i = 0; i < MAX_READS_PER_ROUND && !isBacklogged() && readNow(); i++) {
-                // A short read does not show that the socket is empty.
-            }
+            readSome();
             flush();
         }
     }
@@ -317,6 +319,7 @@
             return false;
         }
         long receivedAt = unreadSince > 0 ? unreadSince : loop.earliestArrival();
+        long readAt = clock.micros();
         ByteBuffer buffer = loop.readBuffer();
         if (unsentBudget.isExceeded()) {
             buffer.limit(REDUCED_READ_BYTES);
@@ -330,6 +333,7 @@
             return false;
         }
         unreadSince = count == 0 ? 0 : receivedAt;
+        readEmptyAt = count == 0 ? readAt : readEmptyAt;
         if (count == END_OF_INPUT) {
             handleEndOfInput(receivedAt);
         } else if (count > 0) {
@@ -338,6 +342,25 @@
         return count != 0 && !closed && !inputClosed;
     }
 
+    /**
+     * Reads what the peer has sent, unless the socket was known to be empty very recently. After a long round of the loop, much
+     * may have arrived that the loop has not come to. Does nothing on another thread than the loop's.
+     */
+    void readIfStale() {
+        long emptyAt = unreadSince > 0 ? unreadSince : Math.max(readEmptyAt, loop.earliestArrival());
+        if (!loop.isCurrentThread() || clock.micros() - emptyAt <= MAX_INPUT_AGE_MICROS) {
+            return;
+        }
+        // A failure closes this connection, and not the one whose message waits for this check.
+        EventLoop.runGuarded(this, this::readSome);
+    }
+
+    private void readSome() {
+        for (int i = 0; i < MAX_READS_PER_ROUND && !isBacklogged() && readNow(); i++) {
+            // A short read does not show that the socket is empty.
+        }
+    }
+
     private void deliver(byte[] bytes, int count, long receivedAt) {
         if (inputIgnored || lingerUntil < Long.MAX_VALUE) {
             ignoredBytes += count;
--- a/src/test/c/faults.c
+++ b/src/test/c/faults.c
@@ -1,12 +1,17 @@
 /*
- * Fault injection library that the fault soak preloads into a workload manager. System calls on sockets fail or transfer fewer
- * bytes, in ways that Linux documents, and the wall clock is stepped forward and back by an hour. FAULT_SEED is the seed of the
- * random numbers. FAULT_AFTER_MS is the delay in milliseconds from process start to the first fault, so that the virtual machine
- * starts undisturbed.
+ * Library that the fault soak preloads into a workload manager.
+ *
+ * It records what the process writes to outgoing connections in the file named by TRAFFIC_FILE, with the time at which the
+ * system had taken it: the stand-ins of the soak may be scheduled much later.
+ *
+ * If FAULT_SEED, the seed of the random numbers, is set, it also injects faults: system calls on sockets fail or transfer fewer
+ * bytes, in ways that Linux documents, and the wall clock is stepped forward and back by an hour. FAULT_AFTER_MS is the delay in
+ * milliseconds from process start to the first fault, so that the virtual machine starts undisturbed.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <stdatomic.h>
 #include <stdint.h>
@@ -24,8 +29,18 @@
 enum { OTHER, ACCEPTED, CONNECTED };
 
 static atomic_uchar socket_kinds[MAX_DESCRIPTORS];
+static atomic_uint connection_numbers[MAX_DESCRIPTORS];
+static atomic_uint connection_count;
 static atomic_ullong random_state;
 static int64_t faults_start_ms;
+static int traffic_file = -1;
+
+/* Head of a record of the traffic file, in the byte order of the machine; the written bytes follow it. */
+struct traffic_record {
+    int64_t written_at_ns; /* CLOCK_MONOTONIC */
+    uint32_t connection_number;
+    uint32_t byte_count;
+};
 
 static int (*real_clock_gettime)(clockid_t, struct timespec *);
 
@@ -33,18 +48,24 @@
 
 static void *resolve_real(const char *name) { return dlsym(RTLD_NEXT, name); }
 
-static int64_t monotonic_ms(void) {
+static int64_t monotonic_ns(void) {
     struct timespec now;
     real_clock_gettime(CLOCK_MONOTONIC, &now);
-    return now.tv_sec * 1000LL + now.tv_nsec / 1000000;
+    return now.tv_sec * 1000000000LL + now.tv_nsec;
 }
 
+static int64_t monotonic_ms(void) { return monotonic_ns() / 1000000; }
+
 __attribute__((constructor)) static void initialize(void) {
     real_clock_gettime = REAL(clock_gettime);
     const char *seed = getenv("FAULT_SEED");
     const char *fault_delay = getenv("FAULT_AFTER_MS");
     random_state = seed ? strtoull(seed, NULL, 10) * 2654435761ULL + 1 : 1;
-    faults_start_ms = monotonic_ms() + (fault_delay ? atoll(fault_delay) : 0);
+    faults_start_ms = seed ? monotonic_ms() + (fault_delay ? atoll(fault_delay) : 0) : INT64_MAX;
+    const char *traffic_path = getenv("TRAFFIC_FILE");
+    if (traffic_path) {
+        traffic_file = open(traffic_path, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
+    }
 }
 
 /* Returns a pseudo-random number from 0 to bound - 1 (SplitMix64). */
@@ -110,6 +131,9 @@
         return -1;
     }
     set_socket_kind(fd, CONNECTED);
+    if (fd >= 0 && fd < MAX_DESCRIPTORS) {
+        connection_numbers[fd] = ++connection_count;
+    }
     return REAL(connect)(fd, address, length);
 }
 
@@ -141,8 +165,20 @@
     return inject_io_fault(fd, &count) ? -1 : REAL(read)(fd, bytes, count);
 }
 
+/* Records bytes that the system has taken for an outgoing connection. Returns written, as write does. */
+static ssize_t record_traffic(int fd, const void *bytes, ssize_t written) {
+    if (written > 0 && traffic_file >= 0 && socket_kind(fd) == CONNECTED) {
+        struct traffic_record record = {monotonic_ns(), connection_numbers[fd], (uint32_t) written};
+        struct iovec parts[] = {{&record, sizeof(record)}, {(void *) bytes, (size_t) written}};
+        if (REAL(writev)(traffic_file, parts, 2) != (ssize_t) sizeof(record) + written) {
+            abort();
+        }
+    }
+    return written;
+}
+
 ssize_t write(int fd, const void *bytes, size_t count) {
-    return inject_io_fault(fd, &count) ? -1 : REAL(write)(fd, bytes, count);
+    return inject_io_fault(fd, &count) ? -1 : record_traffic(fd, bytes, REAL(write)(fd, bytes, count));
 }
 
 ssize_t recv(int fd, void *bytes, size_t count, int flags) {
@@ -150,7 +186,7 @@
 }
 
 ssize_t send(int fd, const void *bytes, size_t count, int flags) {
-    return inject_io_fault(fd, &count) ? -1 : REAL(send)(fd, bytes, count, flags);
+    return inject_io_fault(fd, &count) ? -1 : record_traffic(fd, bytes, REAL(send)(fd, bytes, count, flags));
 }
 
 int epoll_wait(int fd, struct epoll_event *events, int max_events, int timeout) {
--- a/src/test/java/cairnline/program/FaultShim.java
+++ b/src/test/java/cairnline/program/FaultShim.java
@@ -3,8 +3,12 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
-/** Builds the library that, preloaded into a workload manager, makes system calls fail and steps the wall clock. */
+/**
+ * Builds the library that, preloaded into a workload manager, records what it writes to engines, makes system calls fail and
+ * steps the wall clock.
+ */
 final class FaultShim {
     private static final Path SOURCE = Path.of("src/test/c/faults.c");
     private static final long FAULT_DELAY_MILLIS = 1_500;
@@ -24,8 +28,16 @@
         return library;
     }
 
-    /** Returns the words to put before a command so that its process runs with the faults of this seed. */
-    static String[] commandPrefix(long seed) throws IOException, InterruptedException {
-        return new String[] {"env", "LD_PRELOAD=" + buildLibrary(), "FAULT_SEED=" + seed, "FAULT_AFTER_MS=" + FAULT_DELAY_MILLIS};
+    /**
+     * Returns the words to put before a command so that its process records in {@code trafficFile} what it writes to engines;
+     * see {@link RecordedTraffic}.
+     */
+    static List<String> recordingPrefix(Path trafficFile) throws IOException, InterruptedException {
+        return List.of("env", "LD_PRELOAD=" + buildLibrary(), "TRAFFIC_FILE=" + trafficFile.toAbsolutePath());
+    }
+
+    /** Returns the words that, after those of {@link #recordingPrefix}, make the process run with the faults of this seed. */
+    static List<String> faultVariables(long seed) {
+        return List.of("FAULT_SEED=" + seed, "FAULT_AFTER_MS=" + FAULT_DELAY_MILLIS);
     }
 }
--- a/src/test/java/cairnline/program/PlatformProtocolTest.java
+++ b/src/test/java/cairnline/program/PlatformProtocolTest.java
@@ -120,6 +120,21 @@
                 client b expect r2 served two""");
     }
 
+    /** Guards against engines working for a client that closes its connection some time after its output. */
+    @Test
+    void noticesThatClientHasGoneSomeTimeAfterItClosedItsOutput() throws Exception {
+        play("""
+                list e1 ready
+                client a send lookup r1
+                engine expect r1
+                client a finish
+                client a notices 2
+                client a close
+                wait connections 0
+                engine send r1 pages:3 a
+                engine hear r1 forget""");
+    }
+
     @Test
     void ignoresAnswerToEarlierAttempt() throws Exception {
         play("""
--- a/src/test/java/cairnline/program/Scenario.java
+++ b/src/test/java/cairnline/program/Scenario.java
@@ -12,6 +12,7 @@
 import cairnline.program.ProtocolFixture.Message;
 import cairnline.program.ProtocolFixture.Reader;
 import cairnline.program.ProtocolFixture.Request;
+import cairnline.protocol.ClientFrames;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -32,6 +33,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 /**
  * Interprets a small language for tests of the network code, one step per line, against real sockets on loopback:
@@ -42,6 +44,7 @@
  * client a send lookup r1 [ttl]   sends request r1 on the connection of client a; "send load r1 KEY [ttl]" with a key
  * client a expect r1 served row   expects the client's next answer: served with a row, refused, failed or closed
  * client a close                  closes the client's connection
+ * client a notices 2              waits until the client has received as many notices that no more requests are taken
  * engine expect r1 [key|at e1]    expects r1 as the next request received by any engine, with this key or at this engine
  * engine expect r1+r2             expects these as the next two requests, in any order
  * engine send r1 ok row           sends the answer to r1: ok with a row, full or error
@@ -76,6 +79,7 @@
     private final LinkedBlockingQueue<Message> engineCommands = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<EngineRequest> engineRequests = new LinkedBlockingQueue<>();
     private final List<Socket> sockets = new ArrayList<>();
+    private final Map<Socket, CountDownLatch> readersEnded = new ConcurrentHashMap<>();
     private volatile boolean probesUnanswered;
 
     private record EngineRequest(String engine, Socket socket, Message message) { }
@@ -106,7 +110,8 @@
         switch (words[0] + " " + (words[0].equals("client") ? words[2] : words[1])) {
             case "client send" -> sendRequest(words);
             case "client expect" -> expectAnswer(words, step);
-            case "client close" -> clients.remove(words[1]).socket.close();
+            case "client close" -> closeAndAwait(clients.remove(words[1]).socket);
+            case "client notices" -> awaitNotices(clients.get(words[1]).receivedText, Integer.parseInt(words[3]), step);
             case "engine expect" -> expectEngineRequests(words, step);
             case "client raw" -> client(words[1]).socket.getOutputStream().write(HexFormat.of().parseHex(words[3]));
             case "client text" -> client(words[1]).socket.getOutputStream().write(step.split(" ", 4)[3]
@@ -174,6 +179,11 @@
         text.delete(0, text.indexOf(expected) + expected.length());
     }
 
+    private static void awaitNotices(StringBuffer receivedText, int count, String step) {
+        String notice = new String(ClientFrames.noMoreRequests(), StandardCharsets.ISO_8859_1);
+        awaitCondition(() -> receivedText.toString().split(Pattern.quote(notice), -1).length > count, step);
+    }
+
     private static void awaitCondition(BooleanSupplier condition, String step) {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
         while (!condition.getAsBoolean()) {
@@ -217,9 +227,15 @@
     }
 
     /** Closes a connection with a TCP reset, as the end of a crashed process does. */
-    private static void reset(Socket socket) throws IOException {
+    private void reset(Socket socket) throws IOException, InterruptedException {
         socket.setSoLinger(true, 0);
+        closeAndAwait(socket);
+    }
+
+    /** Closes a socket and waits for the end of the thread that reads it, until which the system keeps the socket open. */
+    private void closeAndAwait(Socket socket) throws IOException, InterruptedException {
         socket.close();
+        assertTrue(readersEnded.get(socket).await(TIMEOUT_SECONDS, TimeUnit.SECONDS), "the reader still runs");
     }
 
     private void shutDown() throws InterruptedException {
@@ -280,7 +296,9 @@
         }
     }
 
-    private static void startReading(Socket socket, Reader reader, Consumer<Message> consumer, Runnable onEnd) {
+    private void startReading(Socket socket, Reader reader, Consumer<Message> consumer, Runnable onEnd) {
+        CountDownLatch ended = new CountDownLatch(1);
+        readersEnded.put(socket, ended);
         startDaemon(() -> {
             try {
                 InputStream in = socket.getInputStream();
@@ -289,6 +307,7 @@
                     reader.read(bytes, count).forEach(consumer);
                 }
             } finally {
+                ended.countDown();
                 onEnd.run();
             }
         });
--- a/src/test/java/cairnline/program/SoakInvariants.java
+++ b/src/test/java/cairnline/program/SoakInvariants.java
@@ -2,6 +2,7 @@
 
 import cairnline.protocol.ClientFrames;
 import cairnline.program.FrameClient.Call;
+import cairnline.program.RecordedTraffic.WrittenAttempt;
 import cairnline.program.RecordingEngine.Attempt;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -16,7 +17,7 @@
 final class SoakInvariants {
     /** A request written this shortly before its connection closed may have crossed the close and needs no answer. */
     private static final long CROSSING_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-    /** How long after its client has gone, or has cancelled it, an attempt of a request may still arrive at an engine. */
+    /** How long after its client has gone, or has cancelled it, an attempt of a request may still begin. */
     private static final long ABANDONED_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** By how much the time limit of an attempt may exceed the time left to the client's deadline, as measured here. */
     private static final long DEADLINE_TOLERANCE_MILLIS = 150;
@@ -27,19 +28,19 @@
     private final List<SoakClient> clients;
     private final Map<String, Long> drainDeadlines;
     private final boolean connectionsFlooded;
-    private final StallMonitor stallMonitor;
+    private final List<WrittenAttempt> writtenAttempts;
     private final Set<String> attemptedIds = new HashSet<>();
     private final Map<String, Call> callsById = new HashMap<>();
     private final Map<String, FrameClient> connectionsById = new HashMap<>();
 
     SoakInvariants(List<RecordingEngine> engines, List<SoakClient> clients, Map<String, Long> drainDeadlines,
-            boolean connectionsFlooded, StallMonitor stallMonitor) {
+            boolean connectionsFlooded, List<WrittenAttempt> writtenAttempts) {
         engines.forEach(engine -> attempts.addAll(engine.attempts()));
         attempts.sort(Comparator.comparingLong(attempt -> attempt.arrivedAt));
         this.clients = clients;
         this.drainDeadlines = drainDeadlines;
         this.connectionsFlooded = connectionsFlooded;
-        this.stallMonitor = stallMonitor;
+        this.writtenAttempts = writtenAttempts;
         attempts.forEach(attempt -> attemptedIds.add(attempt.id));
         for (SoakClient client : clients) {
             for (FrameClient connection : client.connections()) {
@@ -58,7 +59,8 @@
                 connection.calls().forEach(call -> checkAnswer(connection, call, violations));
             }
         }
-        attempts.forEach(attempt -> checkAttempt(attempt, violations));
+        attempts.forEach(attempt -> checkArrivedAttempt(attempt, violations));
+        writtenAttempts.forEach(attempt -> checkWrittenAttempt(attempt, violations));
         checkUnsafeRequests(violations);
         checkOrderingKeys(violations);
     }
@@ -112,7 +114,7 @@
         }
     }
 
-    private void checkAttempt(Attempt attempt, List<String> violations) {
+    private void checkArrivedAttempt(Attempt attempt, List<String> violations) {
         Call call = callsById.get(attempt.id);
         if (call == null) {
             violations.add(attempt.id + ": attempted but not requested by any client");
@@ -123,22 +125,27 @@
             violations.add(attempt.id + ": attempted at a draining engine "
                     + (attempt.arrivedAt - drainDeadline) / 1_000_000 + " ms late");
         }
-        long outputClosedAt = connectionsById.get(attempt.id).outputClosedAt();
+    }
+
+    /** Checks what depends on when the manager wrote an attempt, whether or not it reached an engine. */
+    private void checkWrittenAttempt(WrittenAttempt attempt, List<String> violations) {
+        Call call = callsById.get(attempt.id());
+        if (call == null) {
+            violations.add(attempt.id() + ": attempted but not requested by any client");
+            return;
+        }
+        long outputClosedAt = connectionsById.get(attempt.id()).outputClosedAt();
         // The earlier of the two times, or the one that is set; 0 if neither is.
         long abandonedAt = call.cancelledAt > 0 && outputClosedAt > 0
                 ? Math.min(outputClosedAt, call.cancelledAt) : Math.max(outputClosedAt, call.cancelledAt);
-        if (abandonedAt > 0 && attempt.arrivedAt - stallMonitor.stalledNanos(abandonedAt, attempt.arrivedAt)
-                > abandonedAt + ABANDONED_TOLERANCE_NANOS) {
-            violations.add(attempt.id + ": attempt started " + (attempt.arrivedAt - abandonedAt) / 1_000_000
-                    + " ms after its client had gone or cancelled it, of which stalled ms: "
-                    + stallMonitor.stalledNanos(abandonedAt, attempt.arrivedAt) / 1_000_000);
+        if (abandonedAt > 0 && attempt.writtenAt() > abandonedAt + ABANDONED_TOLERANCE_NANOS) {
+            violations.add(attempt.id() + ": attempt started " + (attempt.writtenAt() - abandonedAt) / 1_000_000
+                    + " ms after its client had gone or cancelled it");
         }
         if (call.writtenAt > 0) {
-            long elapsedNanos = attempt.arrivedAt - call.writtenAt
-                    - stallMonitor.stalledNanos(call.writtenAt, attempt.arrivedAt);
-            long remainingMillis = call.timeoutMillis - elapsedNanos / 1_000_000;
-            if (attempt.timeLimitMillis > remainingMillis + DEADLINE_TOLERANCE_MILLIS) {
-                violations.add(attempt.id + ": time limit " + attempt.timeLimitMillis + " ms, time to the deadline "
+            long remainingMillis = call.timeoutMillis - (attempt.writtenAt() - call.writtenAt) / 1_000_000;
+            if (attempt.timeLimitMillis() > remainingMillis + DEADLINE_TOLERANCE_MILLIS) {
+                violations.add(attempt.id() + ": time limit " + attempt.timeLimitMillis() + " ms, time to the deadline "
                         + remainingMillis + " ms");
             }
         }
--- a/src/test/java/cairnline/program/SoakRun.java
+++ b/src/test/java/cairnline/program/SoakRun.java
@@ -1,5 +1,6 @@
 package cairnline.program;
 
+import cairnline.program.RecordedTraffic.WrittenAttempt;
 import cairnline.standin.StandInFeed;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -45,7 +46,6 @@
     /** By draining engine: the {@link System#nanoTime} after which no attempt may arrive there. */
     private final Map<String, Long> drainDeadlines = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
-    private final StallMonitor stallMonitor = new StallMonitor();
     private StandInFeed feed;
 
     SoakRun(long seed, Path folder) {
@@ -63,7 +63,8 @@
                 TimeUnit.MILLISECONDS.sleep(STEP_MILLIS);
             }
             terminateManagers();
-            new SoakInvariants(engines, clients, drainDeadlines, !idleConnections.isEmpty(), stallMonitor).check(violations);
+            new SoakInvariants(engines, clients, drainDeadlines, !idleConnections.isEmpty(), readWrittenAttempts())
+                    .check(violations);
         } finally {
             closeAll();
         }
@@ -85,7 +86,7 @@
             ManagerProcess manager = new ManagerProcess(folder.resolve("m" + i), i, MANAGER_COUNT, feed.address(), null,
                     "{\"n\": 0, \"events\": []}", MAX_DESCRIPTORS);
             managers.add(manager);
-            manager.start(seed % 2 == 0 ? FaultShim.commandPrefix(seed + i) : new String[0]);
+            manager.start(commandPrefix(i));
         }
         for (ManagerProcess manager : managers) {
             ReadinessCheck.await(manager.port(), READY_TIMEOUT_SECONDS);
@@ -100,6 +101,26 @@
         }
     }
 
+    private String[] commandPrefix(int manager) throws IOException, InterruptedException {
+        List<String> prefix = new ArrayList<>(FaultShim.recordingPrefix(trafficFile(manager)));
+        if (seed % 2 == 0) {
+            prefix.addAll(FaultShim.faultVariables(seed + manager));
+        }
+        return prefix.toArray(String[]::new);
+    }
+
+    private Path trafficFile(int manager) {
+        return folder.resolve("m" + manager).resolve("traffic");
+    }
+
+    private List<WrittenAttempt> readWrittenAttempts() throws IOException {
+        List<WrittenAttempt> attempts = new ArrayList<>();
+        for (int i = 0; i < MANAGER_COUNT; i++) {
+            attempts.addAll(RecordedTraffic.readAttempts(trafficFile(i)));
+        }
+        return attempts;
+    }
+
     private StandInFeed.EngineEntry engineEntry(int engine, String health) {
         return new StandInFeed.EngineEntry("s-" + engine, proxies.get(engine).address(), health, 0);
     }
@@ -205,7 +226,6 @@
     }
 
     private void closeAll() throws IOException {
-        stallMonitor.close();
         managers.forEach(ManagerProcess::close);
         for (SoakClient client : clients) {
             client.stop();
--- a/src/test/java/cairnline/transport/TcpConnectionTest.java
+++ b/src/test/java/cairnline/transport/TcpConnectionTest.java
@@ -28,6 +28,8 @@
     private static final long TIMEOUT_SECONDS = 10;
     private static final int MAILBOX_MESSAGES = 64;
     private static final int LARGE_MESSAGE_BYTES = 8 << 20;
+    /** Longer than a connection trusts that its socket is still empty. */
+    private static final long LONG_ROUND_MICROS = 100_000;
 
     private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
     private final Recorder handler = new Recorder();
@@ -170,6 +172,39 @@
         assertEquals("read 1", nextEvent());
     }
 
+    /** Guards against attempts that start after their client has gone, since the loop had not come to its socket yet. */
+    @Test
+    void readsWhatArrivedDuringALongRoundBeforeItMatters() throws Exception {
+        CountDownLatch roundStarted = new CountDownLatch(1);
+        CountDownLatch written = new CountDownLatch(1);
+        Clock clock = loop.clock();
+        loop.execute(() -> {
+            long startedAt = clock.micros();
+            roundStarted.countDown();
+            awaitUninterrupted(written);
+            while (clock.micros() - startedAt < LONG_ROUND_MICROS) {
+                Thread.onSpinWait();
+            }
+            connection.readIfStale();
+            events.add("round ends");
+        });
+        roundStarted.await();
+        remote.getOutputStream().write(7);
+        remote.close();
+        written.countDown();
+        assertEquals("read 1", nextEvent());
+        assertEquals("input closed", nextEvent());
+        assertEquals("round ends", nextEvent());
+    }
+
+    private static void awaitUninterrupted(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Guards against messages for peers that read nothing filling the heap uncounted, and against counts that stay. */
     @Test
     void countsUnsentMessagesUntilTheyAreWrittenOrDropped() throws Exception {
