Check between partial writes whether a message is still wanted

Cause: since a message was offered to the channel again and again within one call, so a cancelled message could be written whole to a peer that began to read (TcpConnectionTest#closesInsteadOfCompletingCancelledMessage, once beside load). Change: one write a step, at most eight partial ones a round.

--- a/src/main/java/cairnline/transport/OutboundQueue.java
+++ b/src/main/java/cairnline/transport/OutboundQueue.java
@@ -125,15 +125,13 @@
         }
     }
 
-    /** Writes as much of the current message as the channel takes; returns whether the message is complete. */
+    /** Offers the rest of the current message to the channel once; returns whether the channel may take more now. */
     boolean write(SocketChannel channel, long now) throws IOException {
-        // A short or interrupted write does not show that the channel takes no more.
-        while (currentBytes.hasRemaining() && channel.write(currentBytes) != 0) {
-            continue;
-        }
+        int count = channel.write(currentBytes);
         if (currentBytes.hasRemaining()) {
             blockedSince = blockedSince == 0 ? now : blockedSince;
-            return false;
+            // A short or interrupted write does not show that the channel takes no more.
+            return count != 0;
         }
         releaseCurrent();
         blockedSince = 0;
--- a/src/main/java/cairnline/transport/TcpConnection.java
+++ b/src/main/java/cairnline/transport/TcpConnection.java
@@ -26,6 +26,8 @@
     private static final int REDUCED_READ_BYTES = 1_024;
     /** Keeps one busy connection from starving the others on the loop. */
     private static final int MAX_READS_PER_ROUND = 8;
+    /** Keeps one large message to a peer that reads fast from starving the other connections on the loop. */
+    private static final int MAX_PARTIAL_WRITES_PER_ROUND = 8;
     /** How recently a socket must have been read empty for {@link #readIfStale} to skip it. */
     private static final long MAX_INPUT_AGE_MICROS = 10_000;
     /** Result of a channel's read at the end of the input; other negative results mean an interrupted call. */
@@ -390,7 +392,8 @@
             return;
         }
         try {
-            while (prepareNextMessage()) {
+            int partialWrites = 0;
+            while (partialWrites < MAX_PARTIAL_WRITES_PER_ROUND && prepareNextMessage()) {
                 if (outbound.isBlockedMessageUnwanted()) {
                     closeNow("message abandoned while partially written");
                     return;
@@ -398,6 +401,7 @@
                 if (!outbound.write(channel, clock.micros())) {
                     break;
                 }
+                partialWrites += outbound.isWriting() ? 1 : 0;
             }
             if (finishingOutput && !outbound.isWriting() && !closed && lingerUntil == Long.MAX_VALUE) {
                 shutdownOutput();
