End the threads that wait in system calls before the process halts

Cause: TerminationTest#answersRequestsAtHungEngineBeforeEarliestKill failed beside load with exit code 137. Timestamps show the last answer 3.21 s after SIGTERM, the log flushed 3 ms later, and the process gone 0.33 s after that: the virtual machine's halt waits up to 0.3 s for threads that are inside system calls, here the event loop and the reader of the control feed. Change: both threads are ended before the halt.

--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -78,6 +78,13 @@
         front.drain(drainMicros);
     }
 
+    /** Ends the thread that reads the control feed, if any. */
+    void stopFeed() {
+        if (feedClient != null) {
+            feedClient.stop();
+        }
+    }
+
     int port() {
         return listener.port();
     }
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -167,11 +167,21 @@
         if (snapshotWriter != null) {
             snapshotWriter.flush(limits.shutdown().drainPeriod());
         }
+        stopThreads();
         log.flush(LOG_FLUSH_TIMEOUT_MILLIS);
         stopped.countDown();
         Runtime.getRuntime().halt(0);
     }
 
+    /** Ends the threads that wait in system calls: the virtual machine's halt waits up to 0.3 s for threads to leave them. */
+    private void stopThreads() {
+        feedClient.stop();
+        if (odataServer != null) {
+            odataServer.stopFeed();
+        }
+        loop.close();
+    }
+
     /**
      * Returns the socket address of an engine. A malformed address is logged and replaced by one that can never be reached,
      * so that the other engines of the same event remain usable.
--- a/src/main/java/cairnline/transport/FeedClient.java
+++ b/src/main/java/cairnline/transport/FeedClient.java
@@ -30,6 +30,7 @@
     private boolean firstReadReported;
     /** The connection to {@link #address}; closing it interrupts the reading thread. */
     private Socket socket = new Socket();
+    private boolean stopped;
 
     /** Creates a client, not yet started. */
     public FeedClient(InetSocketAddress address, EngineListUpdates list, Limits limits, Clock clock, WallClock wallClock,
@@ -56,6 +57,17 @@
         }
     }
 
+    /** Ends the thread that reads the feed. Safe for any thread. */
+    public synchronized void stop() {
+        stopped = true;
+        Threads.close(socket);
+        notifyAll();
+    }
+
+    private synchronized boolean isStopped() {
+        return stopped;
+    }
+
     private void run() {
         boolean disconnected = false;
         InetSocketAddress currentAddress;
@@ -68,7 +80,7 @@
                 read(newSocket, disconnected);
             } catch (IOException | RuntimeException e) {
                 // Unexpected exceptions too: if this thread ended, the engine list would never be updated again.
-                if (!disconnected) {
+                if (!disconnected && !isStopped()) {
                     log.warn("feed.lost", "control feed connection failed: " + e.getMessage(), "address", currentAddress);
                 }
             }
@@ -87,18 +99,21 @@
 
     private synchronized InetSocketAddress registerSocket(Socket newSocket) {
         socket = newSocket;
+        if (stopped) {
+            Threads.close(newSocket);
+        }
         return address;
     }
 
-    /** Waits for the reconnect delay, or until the address is no longer {@code previous}; false if interrupted. */
+    /** Waits for the reconnect delay, or until the address is no longer {@code previous}; false if it is to end instead. */
     private synchronized boolean awaitReconnect(InetSocketAddress previous) {
         long retryAt = clock.micros() + limits.feed().reconnectDelay();
         try {
-            for (long remaining = limits.feed().reconnectDelay(); remaining > 0 && previous.equals(address);
+            for (long remaining = limits.feed().reconnectDelay(); remaining > 0 && previous.equals(address) && !stopped;
                     remaining = retryAt - clock.micros()) {
                 wait(Clock.toMillis(remaining));
             }
-            return true;
+            return !stopped;
         } catch (InterruptedException e) {
             return false;
         }
