Close OData engine connections on bytes that no written request asked for

Cause: HttpConnection gave each complete message to the attempt it had at that moment, written or not; the second copy of an answer ended the next attempt. Change: an answer counts only while a written request awaits one; anything else makes the connection unusable, and the socket is read before a request is written. Interim responses are skipped, bodies that end with the connection are read, and taken only if they are whole JSON. OData clients that close their connection are noticed by interim responses.

--- a/src/main/java/cairnline/protocol/HttpDecoder.java
+++ b/src/main/java/cairnline/protocol/HttpDecoder.java
@@ -5,7 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** Incremental decoder of HTTP/1.1 messages with a content length or chunked transfer encoding. Not thread-safe. */
+/**
+ * Incremental decoder of HTTP/1.1 messages with a content length or chunked transfer encoding, and of responses whose body ends
+ * with the connection. Not thread-safe.
+ */
 public final class HttpDecoder {
     private static final int MAX_CHUNK_SIZE_DIGITS = 7;
 
@@ -53,10 +56,28 @@
         if (head == null) {
             return null;
         }
-        byte[] body = head.header("transfer-encoding").isEmpty() ? bodyOfContentLength() : chunkedBody();
-        if (body == null) {
+        if (endsWithConnection()) {
+            checkBodySize(bytes.size());
             return null;
         }
+        byte[] body = head.header("transfer-encoding").isEmpty() ? bodyOfContentLength() : chunkedBody();
+        return body == null ? null : completeMessage(body);
+    }
+
+    /**
+     * Returns the response whose body has ended with the connection, or null if none was being received. The sender may have
+     * failed before its end, so the content has to show whether it is whole.
+     */
+    public HttpMessage endOfInput() {
+        return head != null && endsWithConnection() ? completeMessage(bytes.take(bytes.size())) : null;
+    }
+
+    private boolean endsWithConnection() {
+        return head.mayEndWithConnection() && head.header("content-length").isEmpty()
+                && head.header("transfer-encoding").isEmpty();
+    }
+
+    private HttpMessage completeMessage(byte[] body) {
         HttpMessage message = head.withBody(body);
         head = null;
         return message;
@@ -126,10 +147,14 @@
             }
             size = Integer.parseInt(contentLength);
         }
+        checkBodySize(size);
+        return bytes.size() < size ? null : bytes.take(size);
+    }
+
+    private void checkBodySize(int size) {
         if (size > maxBodyBytes) {
             throw new ProtocolException("the body is longer than " + maxBodyBytes + " bytes");
         }
-        return bytes.size() < size ? null : bytes.take(size);
     }
 
     private byte[] chunkedBody() {
@@ -146,9 +171,7 @@
                 throw new ProtocolException("a chunk's size is not a number");
             }
             int count = Integer.parseInt(size, 16);
-            if (chunks.size() + count > maxBodyBytes) {
-                throw new ProtocolException("the body is longer than " + maxBodyBytes + " bytes");
-            }
+            checkBodySize(chunks.size() + count);
             int chunkStart = lineEnd(0) + 1;
             if (count == 0) {
                 return readTrailer(chunkStart);
--- a/src/main/java/cairnline/protocol/HttpMessage.java
+++ b/src/main/java/cairnline/protocol/HttpMessage.java
@@ -16,6 +16,7 @@
 public record HttpMessage(String[] startLine, Map<String, String> headers, byte[] body) {
     private static final byte[] EMPTY_BODY = {};
     private static final int STATUS_NO_CONTENT = 204;
+    private static final int STATUS_NOT_MODIFIED = 304;
     /** Memory of a header beside its characters: an entry of the map and two strings. */
     private static final int HEADER_OVERHEAD_BYTES = 160;
 
@@ -71,6 +72,20 @@
         return Integer.parseInt(startLine[1]);
     }
 
+    /** Returns whether this is a response that precedes the final one to the same request. */
+    public boolean isInterim() {
+        return isResponse() && status() / 100 == 1;
+    }
+
+    /** Returns whether this is a response whose body, if no header tells its length, ends with the connection. */
+    boolean mayEndWithConnection() {
+        return isResponse() && !isInterim() && status() != STATUS_NO_CONTENT && status() != STATUS_NOT_MODIFIED;
+    }
+
+    private boolean isResponse() {
+        return !startLine[2].startsWith("HTTP/");
+    }
+
     /** Returns the value of a header, or an empty string if it is absent. */
     public String header(String name) {
         return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
@@ -113,8 +128,8 @@
                 head.append(name).append(": ").append(value).append("\r\n");
             }
         });
-        boolean isRequest = startLine[2].startsWith("HTTP/");
-        boolean hasNoBody = isRequest ? body.length == 0 && !startLine[0].equals("POST") : status() == STATUS_NO_CONTENT;
+        boolean hasNoBody = isResponse() ? status() == STATUS_NO_CONTENT
+                : body.length == 0 && !startLine[0].equals("POST");
         if (!hasNoBody) {
             head.append("content-length: ").append(body.length).append("\r\n");
         }
--- a/src/main/java/cairnline/transport/BlockingHttpClient.java
+++ b/src/main/java/cairnline/transport/BlockingHttpClient.java
@@ -55,14 +55,17 @@
         byte[] bytes = new byte[READ_BUFFER_BYTES];
         while (true) {
             int count = in.read(bytes);
-            if (count < 0) {
-                throw new IOException("connection closed before the answer");
+            decoder.feed(bytes, Math.max(0, count));
+            HttpMessage answer = count < 0 ? decoder.endOfInput() : decoder.next();
+            while (answer != null && answer.isInterim()) {
+                answer = decoder.next();
             }
-            decoder.feed(bytes, count);
-            HttpMessage answer = decoder.next();
             if (answer != null) {
                 return answer;
             }
+            if (count < 0) {
+                throw new IOException("connection closed before the answer");
+            }
         }
     }
 
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -24,8 +24,6 @@
  * session drains: it accepts no further requests and closes the connection after the last open request is answered.
  */
 final class ClientSession implements Listener.Session, TcpConnection.Handler {
-    /** The first delay after which a notice to a client that has closed its output is repeated; doubled each time. */
-    private static final long FIRST_NOTICE_DELAY_MICROS = 20_000;
     /** A request received just before the end of the input may still be sent to an engine for this long. */
     private static final long DETACH_DELAY_MICROS = 10_000;
 
@@ -208,26 +206,14 @@
             return true;
         }
         if (openRequestCount() > 0) {
-            sendNotices(FIRST_NOTICE_DELAY_MICROS);
+            new HalfCloseNotices(front.loop(), connection, () -> openRequestCount() == 0 ? null
+                    : ClientFrames.noMoreRequests()).start();
             scheduleDetach(since);
         }
         startDraining();
         return true;
     }
 
-    /**
-     * Tells a client that has closed its output that no more requests are taken, again and again while requests are open. Only
-     * a write reveals that it has closed the connection entirely, now or later: it answers with a reset, and the next write
-     * fails.
-     */
-    private void sendNotices(long delay) {
-        if (openRequestCount() == 0) {
-            return;
-        }
-        connection.send(ClientFrames.noMoreRequests());
-        front.loop().schedule(front.clock().micros() + delay, connection, () -> sendNotices(2 * delay));
-    }
-
     @Override
     public void onClosed(boolean wasConnected) {
         List<Request> unanswered = removeAllOpenRequests();
--- a/src/main/java/cairnline/transport/HttpConnection.java
+++ b/src/main/java/cairnline/transport/HttpConnection.java
@@ -4,6 +4,7 @@
 import cairnline.pools.MemoryBudget;
 import cairnline.protocol.HttpDecoder;
 import cairnline.protocol.HttpMessage;
+import cairnline.protocol.Json;
 import cairnline.protocol.ODataPages;
 import cairnline.protocol.ProtocolException;
 import cairnline.routing.Attempt;
@@ -13,11 +14,14 @@
 import java.util.Map;
 
 /**
- * One connection to an OData engine, for one attempt at a time. Cancelling an attempt closes its connection, so that a later
- * attempt can't receive its answer. The dispatcher is never called with this object's lock held, since its mailbox may be
- * full.
+ * One connection to an OData engine, for one attempt at a time. HTTP answers carry no request id, so an answer belongs to a
+ * request only if its first byte came after the request was written. Any other bytes make the connection unusable: an attempt
+ * that was written on it ends without a known outcome, and one that was not ends as not sent. Cancelling an attempt closes its
+ * connection, so that a later attempt can't receive its answer. The dispatcher is never called with this object's lock held,
+ * since its mailbox may be full.
  */
 final class HttpConnection implements TcpConnection.Handler, PooledLink.Connection {
+    private static final int STATUS_SWITCHING_PROTOCOLS = 101;
     private static final int STATUS_UNAVAILABLE = 503;
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
@@ -41,6 +45,8 @@
     /** The pages of the current answer; confined to the event loop, like {@link #pageCount}. */
     private ODataPages pages = new ODataPages();
     private int pageCount;
+    /** Whether a request has been written whose answer is not complete; confined to the event loop. */
+    private boolean awaitingAnswer;
 
     HttpConnection(HttpLink link, InetSocketAddress address, Dispatcher dispatcher, Limits limits, EventLoop loop,
                    ConnectionMemory memory) {
@@ -103,13 +109,21 @@
             dispatcher.attemptEnded(newAttempt, Attempt.Result.of(AttemptStatus.NOT_SENT));
             return null;
         }
-        return withHost(HttpMessage.parse(statement));
+        return encodeAwaited(HttpMessage.parse(statement));
     }
 
-    private byte[] withHost(HttpMessage request) {
+    /** Encodes a request whose turn to be written has come. From now on an answer is expected. */
+    private byte[] encodeAwaited(HttpMessage request) {
+        awaitingAnswer = true;
         return request.withHeader("host", address.getHostString() + ":" + address.getPort()).encode();
     }
 
+    /** What has arrived by the time a request is to be written can't belong to it, so the socket is read before. */
+    @Override
+    public boolean isQuiescent() {
+        return !awaitingAnswer;
+    }
+
     @Override
     public void cancel(Attempt cancelled) {
         synchronized (this) {
@@ -132,9 +146,14 @@
         if (isClosed()) {
             return;
         }
+        if (!awaitingAnswer) {
+            closeUnusable("received bytes that belong to no request");
+            return;
+        }
         try {
             decoder.feed(bytes, count);
-            for (HttpMessage answer = decoder.next(); answer != null; answer = decoder.next()) {
+            HttpMessage answer = nextFinalAnswer();
+            if (answer != null) {
                 handleAnswer(answer);
             }
             if (!answerMemory.set(decoder.heldBytes() + pages.heldBytes())
@@ -142,18 +161,51 @@
                 failAttempt();
             }
         } catch (ProtocolException e) {
-            synchronized (this) {
-                closed = true;
+            closeUnusable(e.getMessage());
+        }
+    }
+
+    /** Returns the next answer that is not an interim one; null if it has not been received completely. */
+    private HttpMessage nextFinalAnswer() {
+        HttpMessage answer = decoder.next();
+        while (answer != null && answer.isInterim()) {
+            if (answer.status() == STATUS_SWITCHING_PROTOCOLS) {
+                throw new ProtocolException("the engine switched protocols without being asked to");
             }
-            close();
+            answer = decoder.next();
         }
+        return answer;
+    }
+
+    /** An answer whose body ends with the connection is taken only if its content shows that it is whole. */
+    @Override
+    public boolean onInputClosed(long since) {
+        HttpMessage answer = isClosed() || !awaitingAnswer ? null : decoder.endOfInput();
+        if (answer == null) {
+            return false;
+        }
+        try {
+            Json.object(answer.body());
+            handleAnswer(answer.withHeader("connection", "close"));
+        } catch (ProtocolException e) {
+            closeUnusable("the answer ended early: " + e.getMessage());
+        }
+        return false;
+    }
+
+    /** Closes the connection, on which answers can't be told apart any more; an attempt in flight ends with {@link #onClosed}. */
+    private void closeUnusable(String reason) {
+        synchronized (this) {
+            closed = true;
+        }
+        connection.closeNow(reason);
     }
 
     private void handleAnswer(HttpMessage answer) {
+        awaitingAnswer = false;
         Attempt current = currentAttempt();
         if (current == null) {
-            // No request is open, so answers can no longer be matched to requests.
-            close();
+            closeUnusable("received an answer to no attempt");
             return;
         }
         int status = answer.status();
@@ -168,6 +220,10 @@
 
     /** Adds a page to the answer; the attempt succeeds only with the last page, and a missing page fails it. */
     private void handlePage(Attempt current, HttpMessage answer) {
+        if (!connection.isFlushed()) {
+            closeUnusable("answered a request that was not written completely");
+            return;
+        }
         boolean usable = answer.status() / 100 == 2 || pageCount == 0;
         String nextTarget = null;
         try {
@@ -178,9 +234,9 @@
         }
         if (!usable || pageCount > limits.http().pages()) {
             endAttempt(answer, Attempt.Result.of(AttemptStatus.ERROR));
-        } else if (nextTarget != null && current.isWanted() && !answer.closesConnection()) {
-            connection.send(withHost(HttpMessage.request("GET", nextTarget, Map.of("accept", "application/json"),
-                    new byte[0])));
+        } else if (nextTarget != null && current.isWanted() && isReusableAfter(answer)) {
+            HttpMessage request = HttpMessage.request("GET", nextTarget, Map.of("accept", "application/json"), new byte[0]);
+            connection.enqueue(now -> encodeAwaited(request));
         } else if (nextTarget != null && current.isWanted()) {
             endAttempt(answer, Attempt.Result.of(AttemptStatus.ERROR));
         } else {
@@ -208,20 +264,26 @@
         return attempt;
     }
 
+    /** Whether the connection can carry a request after this answer: both sides have sent all of the exchange and no more. */
+    private boolean isReusableAfter(HttpMessage answer) {
+        return !answer.closesConnection() && !decoder.hasPartialInput() && connection.isFlushed();
+    }
+
     private void endAttempt(HttpMessage answer, Attempt.Result result) {
         pages = new ODataPages();
         pageCount = 0;
+        boolean reusable = isReusableAfter(answer);
         Attempt ended;
         synchronized (this) {
             ended = attempt;
             attempt = null;
-            closed |= answer.closesConnection();
+            closed |= !reusable;
         }
         if (ended != null) {
             resultMemory.add(result.rows().length);
             dispatcher.attemptEnded(ended, result, () -> resultMemory.add(-result.rows().length));
         }
-        if (answer.closesConnection()) {
+        if (!reusable) {
             close();
         }
     }
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -9,6 +9,7 @@
 import cairnline.protocol.ProtocolException;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -25,6 +26,7 @@
     /** A request is held as it was received, and once more as it is encoded for an engine. */
     private static final int COPIES_OF_REQUEST = 2;
     private static final int MIN_ERROR_STATUS = 400;
+    private static final byte[] INTERIM_RESPONSE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final ODataFront front;
     private final SocketChannel channel;
@@ -43,6 +45,7 @@
     private HttpMessage finalAnswer;
     /** Whether the client has closed its output for so long that no further requests are started. */
     private boolean detached;
+    private boolean clientKnowsInterimResponses;
     /** Whether the last answer has been enqueued. */
     private boolean outputFinished;
     private boolean closed;
@@ -127,6 +130,7 @@
             boolean complete = false;
             for (HttpMessage request = decoder.next(); request != null; request = decoder.next()) {
                 complete = true;
+                clientKnowsInterimResponses = !request.startLine()[2].equals("HTTP/1.0");
                 activity.setHeldBytes(decoder.heldBytes());
                 unansweredCount.incrementAndGet();
                 ReceivedRequest received = admit(request, receivedAt);
@@ -211,10 +215,16 @@
     @Override
     public boolean onInputClosed(long since) {
         front.loop().schedule(since + DETACH_DELAY_MICROS, connection, this::detachOpenCalls);
+        new HalfCloseNotices(front.loop(), connection, this::interimResponse).start();
         closeInput(decoder.hasPartialInput() ? ODataModel.error(400, "the connection ended inside a request") : null);
         return true;
     }
 
+    /** Returns an interim response, which clients of HTTP/1.1 ignore; null if none may precede the next answer. */
+    private byte[] interimResponse() {
+        return unansweredCount.get() == 0 || outputFinished || !clientKnowsInterimResponses ? null : INTERIM_RESPONSE;
+    }
+
     private void detachOpenCalls() {
         detached = true;
         openCalls.forEach(ODataCall::detach);
--- a/src/main/java/cairnline/transport/RespConnection.java
+++ b/src/main/java/cairnline/transport/RespConnection.java
@@ -327,9 +327,10 @@
         Exchange exchange;
         synchronized (this) {
             exchange = exchanges.get(message.id());
-        }
-        if (exchange == null) {
-            return;
+            if (exchange == null || !exchange.written) {
+                // An answer under an id that is not, or not yet, known to the engine answers nothing that was asked.
+                return;
+            }
         }
         switch (message.kind()) {
             case OK -> handleFirstPage(exchange, message);
--- a/src/test/java/cairnline/program/ODataProtocolFixture.java
+++ b/src/test/java/cairnline/program/ODataProtocolFixture.java
@@ -127,6 +127,9 @@
             decoder.feed(bytes, count);
             List<Message> messages = new ArrayList<>();
             for (HttpMessage answer = decoder.next(); answer != null; answer = decoder.next()) {
+                if (answer.isInterim()) {
+                    continue;
+                }
                 String body = new String(answer.body(), StandardCharsets.UTF_8);
                 String outcome = answer.status() < 400 ? "served" : answer.status() == 503 ? "refused" : "failed";
                 boolean served = answer.status() < 400;
--- a/src/test/java/cairnline/protocol/HttpDecoderTest.java
+++ b/src/test/java/cairnline/protocol/HttpDecoderTest.java
@@ -43,6 +43,19 @@
         }
     }
 
+    /** Guards against a body of unknown length being passed on empty. */
+    @Test
+    void endsBodyOfUnknownLengthWithTheInput() {
+        HttpDecoder decoder = decoderOf("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc");
+        assertEquals(103, decoder.next().status());
+        assertEquals(204, decoder.next().status());
+        assertNull(decoder.next());
+        assertEquals("abc", new String(decoder.endOfInput().body(), StandardCharsets.UTF_8));
+        assertNull(decoder.endOfInput());
+        assertNull(decoderOf("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab").endOfInput());
+        assertNull(decoderOf("GET / HTTP/1.1\r\n").endOfInput());
+    }
+
     @Test
     void joinsPagesInOrderAndLeavesSinglePageUnchanged() {
         ODataPages singlePage = new ODataPages();
