Decide on the waiting requests of a key in a loop instead of recursively

Cause: Control.finish, sendNextOfKey, decide and close called one another once for each refused load. Change: KeyQueue.decideInOrder, a loop; calls from within a decision return at once.

--- a/src/main/java/cairnline/control/Control.java
+++ b/src/main/java/cairnline/control/Control.java
@@ -518,17 +518,17 @@
     }
 
     private void sendNextOfKey(KeyQueue queue) {
-        if (queue.waiting.isEmpty()) {
-            if (queue.attemptsInFlight == 0 && now >= queue.cooldownUntil) {
-                keyQueues.remove(queue.orderingKey);
-            }
-            return;
-        }
-        Query query = queue.waiting.peekFirst();
-        if (query.attempts.isEmpty() && isKeyTurn(query) && !query.requestClass.heldQueries.contains(query)) {
-            decide(query, true);
+        queue.decideInOrder(this::mayDecideNow, query -> decide(query, true));
+        if (!queue.waiting.isEmpty()) {
+            scheduleHeldCheck();
+        } else if (queue.attemptsInFlight == 0 && now >= queue.cooldownUntil) {
+            keyQueues.remove(queue.orderingKey);
         }
-        scheduleHeldCheck();
+    }
+
+    private boolean mayDecideNow(Query query) {
+        return query.attempts.isEmpty() && isKeyTurn(query)
+                && !query.requestClass.heldQueries.contains(query);
     }
 
     // ---- Feedback from engines ----
--- a/src/main/java/cairnline/control/Query.java
+++ b/src/main/java/cairnline/control/Query.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** A request that is open, or closed with an attempt still in flight; plain state of {@link Control}. */
 final class Query {
@@ -97,9 +99,32 @@
         final ArrayDeque<Query> waiting = new ArrayDeque<>(2);
         int attemptsInFlight;
         long cooldownUntil;
+        private boolean deciding;
 
         KeyQueue(long orderingKey) {
             this.orderingKey = orderingKey;
         }
+
+        /**
+         * Decides on the first waiting request, and then on each that has become the first by that. A call from within a
+         * decision does nothing, so that a queue of requests that are all refused does not deepen the stack.
+         */
+        void decideInOrder(Predicate<Query> mayDecide, Consumer<Query> decision) {
+            if (deciding) {
+                return;
+            }
+            deciding = true;
+            try {
+                Query decided = null;
+                Query first = waiting.peekFirst();
+                while (first != null && first != decided && mayDecide.test(first)) {
+                    decision.accept(first);
+                    decided = first;
+                    first = waiting.peekFirst();
+                }
+            } finally {
+                deciding = false;
+            }
+        }
     }
 }
