--- a/src/main/java/cairnline/protocol/ClientRequest.java
+++ b/src/main/java/cairnline/protocol/ClientRequest.java
@@ -34,7 +34,7 @@
         return new ClientRequest(id, required(fields, "op"), content.body(), idempotencyKey(fields.get("dedupe")),
                 orderingKey(fields.get("row")), ttl(required(fields, "ttl")),
                 (long) (estimate(fields, "work") * MICROS_PER_MILLI), estimate(fields, "heap"),
-                SchemaGroup.of(new String(content.body(), StandardCharsets.UTF_8)));
+                SchemaGroup.of(content.body()));
     }
 
     private static String required(Map<String, String> fields, String name) {
--- a/src/main/java/cairnline/protocol/SchemaGroup.java
+++ b/src/main/java/cairnline/protocol/SchemaGroup.java
@@ -1,75 +1,119 @@
 package cairnline.protocol;
 
+import java.nio.charset.StandardCharsets;
+
 /**
  * Finds the group of tables that a SQL statement uses: the number after the last underscore of a schema name that qualifies
- * a table. String literals and comments are skipped.
+ * a table. String literals and comments are skipped. Works on bytes, since the event loop searches each statement that it reads.
  */
 public final class SchemaGroup {
+    private static final int NONE = -1;
     private static final int MAX_DIGITS = 9;
+    private static final int ASCII_SIZE = 128;
+    /** The kind of each ASCII character. */
+    private static final CharacterKind[] KINDS = new CharacterKind[ASCII_SIZE];
 
-    private SchemaGroup() { }
+    private enum CharacterKind { NAME, SPACE, SINGLE_QUOTE, DOUBLE_QUOTE, DASH, SLASH, OTHER }
 
-    /** Returns the group of the first schema with a number, or -1 if the statement names none. */
-    public static int of(String statement) {
-        int position = 0;
-        while (position < statement.length()) {
-            int afterSkipped = skipStringOrComment(statement, position);
-            if (afterSkipped > position) {
-                position = afterSkipped;
-            } else if (isNameCharacter(statement.charAt(position)) || statement.charAt(position) == '"') {
-                int end = nameEnd(statement, position);
-                int group = !isPrecededByDot(statement, position) && isFollowedByDot(statement, end)
-                        ? group(unquote(statement.substring(position, end))) : -1;
-                if (group >= 0) {
-                    return group;
-                }
-                position = end;
-            } else {
-                position++;
+    static {
+        for (char c = 0; c < ASCII_SIZE; c++) {
+            KINDS[c] = Character.isLetterOrDigit(c) || c == '_' || c == '$' ? CharacterKind.NAME
+                    : Character.isWhitespace(c) ? CharacterKind.SPACE : CharacterKind.OTHER;
+        }
+        KINDS['\''] = CharacterKind.SINGLE_QUOTE;
+        KINDS['"'] = CharacterKind.DOUBLE_QUOTE;
+        KINDS['-'] = CharacterKind.DASH;
+        KINDS['/'] = CharacterKind.SLASH;
+    }
+
+    private final byte[] text;
+
+    private SchemaGroup(byte[] text) {
+        this.text = text;
+    }
+
+    /** Returns the group of the first schema with a number, or -1 if the statement, in UTF-8, names none. */
+    public static int of(byte[] statement) {
+        return new SchemaGroup(isAscii(statement) ? statement : replaceNonAscii(statement)).find();
+    }
+
+    private static boolean isAscii(byte[] statement) {
+        for (byte b : statement) {
+            if (b < 0) {
+                return false;
             }
         }
-        return -1;
+        return true;
     }
 
-    /** Returns the index after the string or comment that starts at this index, or this index if none does. */
-    private static int skipStringOrComment(String statement, int start) {
-        char first = statement.charAt(start);
-        if (first == '\'') {
-            return skipQuoted(statement, start, '\'');
+    /** Replaces each character outside ASCII by one of the same kind: a letter, a space or a question mark. */
+    private static byte[] replaceNonAscii(byte[] statement) {
+        String decoded = new String(statement, StandardCharsets.UTF_8);
+        byte[] replaced = new byte[decoded.length()];
+        for (int i = 0; i < replaced.length; i++) {
+            char c = decoded.charAt(i);
+            replaced[i] = (byte) (c < ASCII_SIZE ? c : Character.isLetterOrDigit(c) ? 'a' : Character.isWhitespace(c) ? ' ' : '?');
         }
-        if (statement.startsWith("--", start)) {
-            int end = statement.indexOf('\n', start);
-            return end < 0 ? statement.length() : end;
+        return replaced;
+    }
+
+    private int find() {
+        int position = 0;
+        while (position < text.length) {
+            switch (KINDS[text[position]]) {
+                case NAME, DOUBLE_QUOTE -> {
+                    int end = nameEnd(position);
+                    int group = qualifiesName(position, end) ? groupOfName(position, end) : NONE;
+                    if (group != NONE) {
+                        return group;
+                    }
+                    position = end;
+                }
+                case SINGLE_QUOTE -> position = skipQuoted(position);
+                case DASH -> position = isAt(position + 1, '-') ? skipLine(position) : position + 1;
+                case SLASH -> position = isAt(position + 1, '*') ? skipBlockComment(position) : position + 1;
+                default -> position++;
+            }
         }
-        if (statement.startsWith("/*", start)) {
-            return skipBlockComment(statement, start);
+        return NONE;
+    }
+
+    private boolean isAt(int position, char expected) {
+        return position < text.length && text[position] == expected;
+    }
+
+    private int skipLine(int start) {
+        int position = start;
+        while (position < text.length && text[position] != '\n') {
+            position++;
         }
-        return start;
+        return position;
     }
 
     /** Returns the index after a quoted string or identifier; a doubled quote is an escaped quote. */
-    private static int skipQuoted(String statement, int start, char quote) {
+    private int skipQuoted(int start) {
+        byte quote = text[start];
         int position = start + 1;
-        while (position < statement.length()) {
-            if (statement.charAt(position) == quote) {
-                if (position + 1 == statement.length() || statement.charAt(position + 1) != quote) {
+        while (position < text.length) {
+            if (text[position] == quote) {
+                if (!isAt(position + 1, (char) quote)) {
                     return position + 1;
                 }
                 position++;
             }
             position++;
         }
-        return statement.length();
+        return text.length;
     }
 
     /** Returns the index after a block comment; block comments nest in SQL. */
-    private static int skipBlockComment(String statement, int start) {
+    private int skipBlockComment(int start) {
         int depth = 0;
-        for (int position = start; position < statement.length(); position++) {
-            if (statement.startsWith("/*", position)) {
+        for (int position = start; position < text.length; position++) {
+            if (text[position] == '/' && isAt(position + 1, '*')) {
                 depth++;
                 position++;
-            } else if (statement.startsWith("*/", position)) {
+            } else if (text[position] == '*' && isAt(position + 1, '/')) {
                 depth--;
                 position++;
                 if (depth == 0) {
@@ -77,47 +121,39 @@
                 }
             }
         }
-        return statement.length();
+        return text.length;
     }
 
-    private static int nameEnd(String statement, int start) {
-        if (statement.charAt(start) == '"') {
-            return skipQuoted(statement, start, '"');
+    private int nameEnd(int start) {
+        if (text[start] == '"') {
+            return skipQuoted(start);
         }
         int end = start;
-        while (end < statement.length() && isNameCharacter(statement.charAt(end))) {
+        while (end < text.length && KINDS[text[end]] == CharacterKind.NAME) {
             end++;
         }
         return end;
     }
 
-    /** Returns whether a dot follows the name, so that it qualifies another name. */
-    private static boolean isFollowedByDot(String statement, int end) {
+    /** Returns whether a dot follows the name, so that it qualifies another name, and none precedes it. */
+    private boolean qualifiesName(int start, int end) {
         int position = end;
-        while (position < statement.length() && Character.isWhitespace(statement.charAt(position))) {
+        while (position < text.length && KINDS[text[position]] == CharacterKind.SPACE) {
             position++;
         }
-        return position < statement.length() && statement.charAt(position) == '.';
+        return isAt(position, '.') && !(start > 0 && text[start - 1] == '.');
     }
 
-    /** Returns whether a dot precedes the name, so that it is that of a table or column. */
-    private static boolean isPrecededByDot(String statement, int start) {
-        return start > 0 && statement.charAt(start - 1) == '.';
-    }
-
-    private static String unquote(String name) {
-        return name.startsWith("\"") ? name.substring(1, Math.max(1, name.length() - 1)) : name;
-    }
-
-    private static int group(String schema) {
-        int underscore = schema.lastIndexOf('_');
-        String digits = schema.substring(underscore + 1);
-        boolean hasGroup = underscore > 0 && !digits.isEmpty() && digits.length() <= MAX_DIGITS
-                && digits.chars().allMatch(c -> c >= '0' && c <= '9');
-        return hasGroup ? Integer.parseInt(digits) : -1;
-    }
-
-    private static boolean isNameCharacter(char c) {
-        return Character.isLetterOrDigit(c) || c == '_' || c == '$';
+    /** Returns the number behind the last underscore of a name, which may be quoted; -1 if there is none. */
+    private int groupOfName(int start, int end) {
+        boolean quoted = text[start] == '"';
+        int first = quoted ? start + 1 : start;
+        int last = quoted ? Math.max(first, end - 1) : end;
+        int digits = last;
+        while (digits > first && text[digits - 1] >= '0' && text[digits - 1] <= '9') {
+            digits--;
+        }
+        boolean hasGroup = digits < last && last - digits <= MAX_DIGITS && digits - 1 > first && text[digits - 1] == '_';
+        return hasGroup ? Integer.parseInt(new String(text, digits, last - digits, StandardCharsets.US_ASCII)) : NONE;
     }
 }
--- a/src/test/java/cairnline/protocol/RespTest.java
+++ b/src/test/java/cairnline/protocol/RespTest.java
@@ -91,6 +91,6 @@
                 "select 1 from \"sales_7\".\"t\"", 7,
                 "select orders_5 from staging.t", -1,
                 "select 1", -1);
-        groups.forEach((statement, group) -> assertEquals(group, SchemaGroup.of(statement), statement));
+        groups.forEach((statement, group) -> assertEquals(group, SchemaGroup.of(statement.getBytes(StandardCharsets.UTF_8)), statement));
     }
 }
