Answer a batch of which one part is spoilt, and requests whose answer can't be encoded

Cause: ODataBatch.jsonAnswer threw on a part that is not the JSON it claims to be, and a message that fails to encode is dropped. Change: that part fails with 502; an exception in a step of an OData request or while an answer is encoded ends the request with an error on both fronts.

--- a/src/main/java/cairnline/protocol/ODataBatch.java
+++ b/src/main/java/cairnline/protocol/ODataBatch.java
@@ -14,6 +14,7 @@
 /** A parsed OData {@code $batch} request in JSON or multipart format, and the encoder of its response in the same format. */
 public final class ODataBatch {
     private static final String BOUNDARY = "batchresponse_cairnline";
+    private static final int STATUS_BAD_GATEWAY = 502;
 
     private final List<Item> items;
     private final boolean json;
@@ -144,29 +145,44 @@
     private HttpMessage jsonAnswer(List<HttpMessage> answers) {
         List<Object> responses = new ArrayList<>();
         for (int i = 0; i < answers.size(); i++) {
-            HttpMessage answer = answers.get(i);
-            if (answer == null) {
-                continue;
-            }
-            Map<String, Object> response = new LinkedHashMap<>();
-            response.put("id", items.get(i).id());
-            if (items.get(i).group() != null) {
-                response.put("atomicityGroup", items.get(i).group());
-            }
-            response.put("status", answer.status());
-            Map<String, String> headers = new LinkedHashMap<>(answer.headers());
-            headers.remove("content-length");
-            response.put("headers", headers);
-            if (answer.body().length > 0) {
-                boolean isJson = answer.header("content-type").startsWith("application/json");
-                response.put("body", isJson ? Json.read(answer.body())
-                        : new String(answer.body(), StandardCharsets.UTF_8));
+            if (answers.get(i) != null) {
+                responses.add(jsonResponse(items.get(i), answers.get(i)));
             }
-            responses.add(response);
         }
         return HttpMessage.response(200, "application/json", Json.write(Map.of("responses", responses)));
     }
 
+    /** Returns the response of a part; one that says that it is JSON and is not fails alone. */
+    private static Map<String, Object> jsonResponse(Item item, HttpMessage answer) {
+        try {
+            return jsonResponse(item, answer, jsonBody(answer));
+        } catch (ProtocolException e) {
+            HttpMessage error = ODataModel.error(STATUS_BAD_GATEWAY, "the engine's answer can't be read: " + e.getMessage());
+            return jsonResponse(item, error, jsonBody(error));
+        }
+    }
+
+    private static Map<String, Object> jsonResponse(Item item, HttpMessage answer, Object body) {
+        Map<String, Object> response = new LinkedHashMap<>();
+        response.put("id", item.id());
+        if (item.group() != null) {
+            response.put("atomicityGroup", item.group());
+        }
+        response.put("status", answer.status());
+        Map<String, String> headers = new LinkedHashMap<>(answer.headers());
+        headers.remove("content-length");
+        response.put("headers", headers);
+        if (answer.body().length > 0) {
+            response.put("body", body);
+        }
+        return response;
+    }
+
+    private static Object jsonBody(HttpMessage answer) {
+        boolean isJson = answer.body().length > 0 && answer.header("content-type").startsWith("application/json");
+        return isJson ? Json.read(answer.body()) : new String(answer.body(), StandardCharsets.UTF_8);
+    }
+
     // ---- Multipart ----
 
     private static String boundaryOf(String type) {
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -420,10 +420,20 @@
             return;
         }
         activity.onAnswered(front.clock().micros());
-        connection.send(encode(stream, answer));
+        connection.send(encodeOrFail(stream, answer));
         finishIfAnswered();
     }
 
+    /** Encodes an answer; a failure instead, if that throws, since a client that is not answered loses its request. */
+    private byte[] encodeOrFail(long stream, Answer answer) {
+        try {
+            return encode(stream, answer);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            EventLoop.reportUncaught(e);
+            return textAnswer(stream, ClientFrames.CODE_FAILED, "the answer can't be encoded");
+        }
+    }
+
     /** Encodes an answer; a failure instead, if there is no memory to keep its rows until the client reads them. */
     private byte[] encode(long stream, Answer answer) {
         if (answer.kind() == Answer.Kind.SERVED && !connection.mayWait(answer.rows().length)) {
--- a/src/main/java/cairnline/transport/ODataCall.java
+++ b/src/main/java/cairnline/transport/ODataCall.java
@@ -101,6 +101,9 @@
             };
         } catch (ProtocolException e) {
             return ODataModel.error(502, e.getMessage());
+        } catch (RuntimeException e) {
+            EventLoop.reportUncaught(e);
+            return ODataModel.error(500, "the answer can't be converted");
         }
     }
 
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -37,8 +37,8 @@
     private final Set<ODataCall> openCalls = ConcurrentHashMap.newKeySet();
     /** Requests received and not answered yet. */
     private final AtomicInteger unansweredCount = new AtomicInteger();
-    /** Whether a request is being served; the others wait in {@link #queuedRequests}. */
-    private boolean serving;
+    /** The request being served; null without one. The others wait in {@link #queuedRequests}. */
+    private HttpMessage servedRequest;
     /** Whether input is ignored; the connection is closed after the last answer and {@link #finalAnswer}. */
     private boolean inputIgnored;
     /** An error to send after all answers; null without. */
@@ -250,7 +250,7 @@
             closeInput(ODataModel.error(429, "too many requests wait on this connection"));
             return null;
         }
-        return serving ? null : startNext();
+        return servedRequest != null ? null : startNext();
     }
 
     /** Starts the next request; returns the encoded answer if it needs no engine, else null. */
@@ -259,9 +259,9 @@
         if (received == null || outputFinished) {
             return null;
         }
-        serving = true;
         servedRequestBytes = received.heldBytes();
         HttpMessage request = received.request();
+        servedRequest = request;
         try {
             if (received.refused()) {
                 return completeRequest(request, ODataModel.error(503, "too much is open").withHeader("retry-after", "1"));
@@ -284,9 +284,16 @@
             return null;
         } catch (ODataException e) {
             return completeRequest(request, ODataModel.error(e.status(), e.getMessage()));
+        } catch (RuntimeException | OutOfMemoryError e) {
+            EventLoop.reportUncaught(e);
+            return completeRequest(request, internalError());
         }
     }
 
+    private static HttpMessage internalError() {
+        return ODataModel.error(500, "the request could not be processed");
+    }
+
     ODataFront front() {
         return front;
     }
@@ -296,11 +303,19 @@
         connection.readIfStale();
     }
 
-    /** Runs a task on the event loop, in order with the messages written on this connection. */
+    /**
+     * Runs a task on the event loop, in order with the messages written on this connection. If it throws, the request being
+     * served is answered with an error, since nothing else may ever answer it.
+     */
     void runInOrder(Runnable task) {
         connection.enqueue(now -> {
-            task.run();
-            return null;
+            try {
+                task.run();
+                return null;
+            } catch (RuntimeException | OutOfMemoryError e) {
+                EventLoop.reportUncaught(e);
+                return servedRequest == null ? null : completeRequest(servedRequest, internalError());
+            }
         });
     }
 
@@ -339,6 +354,10 @@
 
         @Override
         public byte[] encode(long now) {
+            if (servedRequest != request) {
+                // It was answered with an error before.
+                return null;
+            }
             openCalls.clear();
             return completeRequest(request, answer);
         }
@@ -351,7 +370,7 @@
 
     /** Encodes the answer to the current request, and schedules the next request or the end of the connection. */
     private byte[] completeRequest(HttpMessage request, HttpMessage answer) {
-        serving = false;
+        servedRequest = null;
         requestMemory.add(-servedRequestBytes);
         servedRequestBytes = 0;
         unansweredCount.decrementAndGet();
@@ -370,7 +389,7 @@
             return versioned.withHeader("connection", "close").encode();
         }
         runInOrder(() -> {
-            byte[] nextAnswer = serving ? null : startNext();
+            byte[] nextAnswer = servedRequest != null ? null : startNext();
             if (nextAnswer != null) {
                 connection.send(nextAnswer);
             }
--- a/src/test/java/cairnline/program/ODataProtocolFixture.java
+++ b/src/test/java/cairnline/program/ODataProtocolFixture.java
@@ -109,6 +109,9 @@
             return HttpMessage.response(200, JSON,
                     ("{\"value\":[\"" + row + "\"]" + link + "}").getBytes(StandardCharsets.UTF_8)).encode();
         }
+        if (outcome.equals("spoilt")) {
+            return HttpMessage.response(200, JSON, "{\"row\":".getBytes(StandardCharsets.UTF_8)).encode();
+        }
         int status = switch (outcome) {
             case "ok" -> 200;
             case "full" -> 503;
--- a/src/test/java/cairnline/program/ODataProtocolTest.java
+++ b/src/test/java/cairnline/program/ODataProtocolTest.java
@@ -108,6 +108,26 @@
                 "{\"id\":\"4\",\"method\":\"GET\",\"url\":\"/Books(2)?r=r4\"}")));
     }
 
+    /** Guards against a batch that is never answered because the answer to one of its requests is not the JSON it claims to be. */
+    @Test
+    void failsOnlyThePartOfABatchWhoseAnswerIsSpoilt() throws Exception {
+        play("""
+                list e1 ready
+                client a text %s
+                engine expect r1+r2
+                engine send r1 spoilt
+                engine send r2 ok two
+                client a hear HTTP/1.1 200
+                client a hear "id":"1","status":502
+                client a hear "id":"2","status":200
+                client a hear "row":"two"
+                client a text %s
+                engine expect r3
+                engine send r3 ok three
+                client a hear "row":"three\"""".formatted(batch("Prefer: odata.continue-on-error\\r\\n",
+                read("1", "r1", ""), read("2", "r2", "")), get("/Books(1)?r=r3")));
+    }
+
     @Test
     void stopsBatchAtFirstErrorUnlessContinueOnErrorIsPreferred() throws Exception {
         String unknownSet = "{\"id\":\"1\",\"method\":\"GET\",\"url\":\"Nothing\"}";
