Read and answer the clients' backlog until shortly before the earliest SIGKILL

Cause: reading, answering and closing had 300 ms together once the dispatcher was idle. Change: the end waits until all that waits in the sockets is read and answered, at most until one drain period before the earliest SIGKILL; the backlog is read in parts, round by round.

--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -149,6 +149,7 @@
     }
 
     private void stop() {
+        long backlogAnsweredBy = clock.micros() + limits.shutdown().backlogPeriod();
         CountDownLatch answered = new CountDownLatch(odataServer == null ? 1 : 2);
         clientFront.announceShutdown();
         dispatcher.shutDown(answered::countDown);
@@ -160,9 +161,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        clientFront.drain(limits.shutdown().drainPeriod());
+        clientFront.drain(backlogAnsweredBy, limits.shutdown().drainPeriod());
         if (odataServer != null) {
-            odataServer.drain();
+            odataServer.drain(backlogAnsweredBy);
         }
         if (snapshotWriter != null) {
             snapshotWriter.flush(limits.shutdown().drainPeriod());
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -102,11 +102,19 @@
     }
 
     @Override
-    public void drain() {
-        while (connection.readNow()) {
-            // Requests that wait in the socket are accepted and answered like all others.
+    public boolean drain() {
+        if (!isDraining() && connection.readBacklog()) {
+            return false;
         }
-        startDraining();
+        if (!isDraining()) {
+            startDraining();
+        }
+        return true;
+    }
+
+    @Override
+    public boolean isAnswered() {
+        return isDraining() && isIdle();
     }
 
     /** Drops all input; the output is shut down after the answer to the last open request. On the loop's thread. */
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -86,11 +86,17 @@
     }
 
     @Override
-    public void drain() {
-        while (connection.readNow()) {
-            // Requests that wait in the socket are accepted and answered like all others.
+    public boolean drain() {
+        if (!inputIgnored && connection.readBacklog()) {
+            return false;
         }
         closeInput(null);
+        return true;
+    }
+
+    @Override
+    public boolean isAnswered() {
+        return inputIgnored && isIdle();
     }
 
     @Override
--- a/src/main/java/cairnline/transport/SocketFront.java
+++ b/src/main/java/cairnline/transport/SocketFront.java
@@ -48,13 +48,18 @@
 
     /**
      * Closes all connections gracefully: input that waits in the sockets is read and answered, then the output is shut down
-     * and the clients have time to shut down theirs. Blocks until that is done or {@code timeoutMicros} have passed.
+     * and the clients have time to shut down theirs. Blocks until that is done, or the time for it is over.
+     *
+     * @param answerBy until when to read and answer, in microseconds on the program's clock
+     * @param closeMicros how long clients have to close their side after that
      */
-    public void drain(long timeoutMicros) {
+    public void drain(long answerBy, long closeMicros) {
+        CountDownLatch answered = new CountDownLatch(1);
         CountDownLatch drained = new CountDownLatch(1);
-        listener.drain(drained);
+        listener.drain(answered, drained);
         try {
-            drained.await(timeoutMicros, TimeUnit.MICROSECONDS);
+            answered.await(answerBy - clock().micros(), TimeUnit.MICROSECONDS);
+            drained.await(closeMicros, TimeUnit.MICROSECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/cairnline/transport/StandInEngine.java
+++ b/src/main/java/cairnline/transport/StandInEngine.java
@@ -56,8 +56,14 @@
         }
 
         @Override
-        public void drain() {
+        public boolean drain() {
             connection.finishOutput();
+            return true;
+        }
+
+        @Override
+        public boolean isAnswered() {
+            return connection.isFlushed();
         }
 
         @Override
