--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -282,11 +282,9 @@
     }
 
     /** Returns how long after SIGTERM open requests are answered as refused or failed; all times are microseconds. */
-    private static Limits.Shutdown shutdownLimits(long longestDeadline) {
+    private static long shutdownAnswerDelay(long longestDeadline) {
         long earliestKill = Math.min(longestDeadline, MAX_KILL_DEADLINE_MICROS) + KILL_AFTER_DEADLINE_MICROS;
-        return new Limits.Shutdown(SHUTDOWN_ACCEPT_MICROS,
-                Math.max(SHUTDOWN_ACCEPT_MICROS, earliestKill - KILL_MARGIN_MICROS),
-                Math.max(SHUTDOWN_ACCEPT_MICROS, earliestKill - SHUTDOWN_DRAIN_MICROS), SHUTDOWN_DRAIN_MICROS);
+        return Math.max(SHUTDOWN_ACCEPT_MICROS, earliestKill - KILL_MARGIN_MICROS);
     }
 
     private static Limits deriveLimits(Map<String, Object> root, Fields fields, long longestDeadline) {
@@ -311,7 +309,8 @@
                 8_192, 6_000, 64, 48_000, 16 << 20, 8 << 20);
         Limits.Feed feed = new Limits.Feed(Clock.ofMillis(1_000), Clock.ofMillis(200), Clock.ofMillis(2_300),
                 Clock.ofMillis(250), 4 << 20);
-        Limits.Shutdown shutdown = shutdownLimits(longestDeadline);
+        Limits.Shutdown shutdown = new Limits.Shutdown(SHUTDOWN_ACCEPT_MICROS, shutdownAnswerDelay(longestDeadline),
+                SHUTDOWN_DRAIN_MICROS);
         Limits.Http http = new Limits.Http(24, 16_384, 1 << 20, 64, 100);
         return new Limits(routing, connections, clients, engines, feed, shutdown, http);
     }
--- a/src/main/java/cairnline/program/ODataServer.java
+++ b/src/main/java/cairnline/program/ODataServer.java
@@ -73,9 +73,9 @@
         dispatcher.shutDown(done);
     }
 
-    /** Answers what clients have written until a time in microseconds, then closes their connections gracefully. */
-    void drain(long answerBy) {
-        front.drain(answerBy, drainMicros);
+    /** Closes the client connections gracefully within the configured drain period. */
+    void drain() {
+        front.drain(drainMicros);
     }
 
     /** Ends the thread that reads the control feed, if any. */
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -149,7 +149,6 @@
     }
 
     private void stop() {
-        long backlogAnsweredBy = clock.micros() + limits.shutdown().backlogPeriod();
         CountDownLatch answered = new CountDownLatch(odataServer == null ? 1 : 2);
         clientFront.announceShutdown();
         dispatcher.shutDown(answered::countDown);
@@ -161,9 +160,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        clientFront.drain(backlogAnsweredBy, limits.shutdown().drainPeriod());
+        clientFront.drain(limits.shutdown().drainPeriod());
         if (odataServer != null) {
-            odataServer.drain(backlogAnsweredBy);
+            odataServer.drain();
         }
         if (snapshotWriter != null) {
             snapshotWriter.flush(limits.shutdown().drainPeriod());
--- a/src/main/java/cairnline/routing/Limits.java
+++ b/src/main/java/cairnline/routing/Limits.java
@@ -84,10 +84,9 @@
      *
      * @param acceptPeriod time for which requests are still accepted
      * @param answerPeriod time after which requests that are still open are answered as refused or failed
-     * @param backlogPeriod time until which what clients have written is still read and answered
      * @param drainPeriod time that connections have after the last answer to close in order
      */
-    public record Shutdown(long acceptPeriod, long answerPeriod, long backlogPeriod, long drainPeriod) { }
+    public record Shutdown(long acceptPeriod, long answerPeriod, long drainPeriod) { }
 
     /**
      * Limits of OData over HTTP.
--- a/src/main/java/cairnline/transport/ClientSession.java
+++ b/src/main/java/cairnline/transport/ClientSession.java
@@ -102,19 +102,11 @@
     }
 
     @Override
-    public boolean drain() {
-        if (!isDraining() && connection.readBacklog()) {
-            return false;
-        }
-        if (!isDraining()) {
-            startDraining();
+    public void drain() {
+        while (connection.readNow()) {
+            // Requests that wait in the socket are accepted and answered like all others.
         }
-        return true;
-    }
-
-    @Override
-    public boolean isAnswered() {
-        return isDraining() && isIdle();
+        startDraining();
     }
 
     /** Drops all input; the output is shut down after the answer to the last open request. On the loop's thread. */
--- a/src/main/java/cairnline/transport/Listener.java
+++ b/src/main/java/cairnline/transport/Listener.java
@@ -27,7 +27,6 @@
     /** An interrupted accept returns null too, so only several null results in a row show that no connection waits. */
     private static final int ACCEPT_CALLS_TO_CONFIRM_EMPTY = 4;
     private static final long ACCEPT_RETRY_DELAY_MICROS = 10_000;
-    private static final long ANSWER_CHECK_INTERVAL_MICROS = 5_000;
     private static final long REPORT_INTERVAL_MICROS = 1_000_000;
 
     private final ServerSocketChannel server;
@@ -62,14 +61,8 @@
         /** Asks the client to send no further requests, since the program is shutting down. */
         void announceShutdown();
 
-        /**
-         * Reads a part of what the client has written. Returns whether nothing is left; from then on no further requests are
-         * accepted, and the connection is closed once all open ones are answered.
-         */
-        boolean drain();
-
-        /** Whether all requests that were accepted are answered, and the answers passed to the operating system. */
-        boolean isAnswered();
+        /** Accepts no further requests, and closes the connection once all open ones are answered. */
+        void drain();
 
         /** Rejects the client without serving it, since the connection limit is reached. */
         void reject();
@@ -275,39 +268,19 @@
         loop.execute(() -> Set.copyOf(sessions).forEach(Session::announceShutdown));
     }
 
-    /**
-     * Stops listening and drains each connection. Counts {@code answered} down when all that clients have written is read and
-     * answered, and {@code drained} when no connection is left. Safe for any thread.
-     */
-    void drain(CountDownLatch answered, CountDownLatch drained) {
+    /** Stops listening and drains each connection; counts {@code drained} down when none is left. Safe for any thread. */
+    void drain(CountDownLatch drained) {
         loop.execute(() -> {
             acceptPending(BACKLOG_CONNECTIONS);
             close();
             onEmpty = drained::countDown;
+            Set.copyOf(sessions).forEach(Session::drain);
             if (sessions.isEmpty()) {
                 drained.countDown();
             }
-            drainSessions(answered);
         });
     }
 
-    /** Reads a part of each connection's backlog in each round, so that requests are passed on and answered in between. */
-    private void drainSessions(CountDownLatch answered) {
-        boolean allRead = true;
-        boolean allAnswered = true;
-        for (Session session : Set.copyOf(sessions)) {
-            allRead &= session.drain();
-            allAnswered &= session.isAnswered();
-        }
-        if (allRead && allAnswered) {
-            answered.countDown();
-        } else if (allRead) {
-            loop.schedule(clock.micros() + ANSWER_CHECK_INTERVAL_MICROS, this, () -> drainSessions(answered));
-        } else {
-            loop.execute(() -> drainSessions(answered));
-        }
-    }
-
     /** Stops listening. */
     public void close() {
         Threads.close(server);
--- a/src/main/java/cairnline/transport/ODataSession.java
+++ b/src/main/java/cairnline/transport/ODataSession.java
@@ -86,17 +86,11 @@
     }
 
     @Override
-    public boolean drain() {
-        if (!inputIgnored && connection.readBacklog()) {
-            return false;
+    public void drain() {
+        while (connection.readNow()) {
+            // Requests that wait in the socket are accepted and answered like all others.
         }
         closeInput(null);
-        return true;
-    }
-
-    @Override
-    public boolean isAnswered() {
-        return inputIgnored && isIdle();
     }
 
     @Override
--- a/src/main/java/cairnline/transport/SocketFront.java
+++ b/src/main/java/cairnline/transport/SocketFront.java
@@ -48,18 +48,13 @@
 
     /**
      * Closes all connections gracefully: input that waits in the sockets is read and answered, then the output is shut down
-     * and the clients have time to shut down theirs. Blocks until that is done, or the time for it is over.
-     *
-     * @param answerBy until when to read and answer, in microseconds on the program's clock
-     * @param closeMicros how long clients have to close their side after that
+     * and the clients have time to shut down theirs. Blocks until that is done or {@code timeoutMicros} have passed.
      */
-    public void drain(long answerBy, long closeMicros) {
-        CountDownLatch answered = new CountDownLatch(1);
+    public void drain(long timeoutMicros) {
         CountDownLatch drained = new CountDownLatch(1);
-        listener.drain(answered, drained);
+        listener.drain(drained);
         try {
-            answered.await(answerBy - clock().micros(), TimeUnit.MICROSECONDS);
-            drained.await(closeMicros, TimeUnit.MICROSECONDS);
+            drained.await(timeoutMicros, TimeUnit.MICROSECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/cairnline/transport/StandInEngine.java
+++ b/src/main/java/cairnline/transport/StandInEngine.java
@@ -56,14 +56,8 @@
         }
 
         @Override
-        public boolean drain() {
+        public void drain() {
             connection.finishOutput();
-            return true;
-        }
-
-        @Override
-        public boolean isAnswered() {
-            return connection.isFlushed();
         }
 
         @Override
--- a/src/main/java/cairnline/transport/TcpConnection.java
+++ b/src/main/java/cairnline/transport/TcpConnection.java
@@ -386,16 +386,6 @@
         }
     }
 
-    /** Reads a part of what the peer has sent, even if it does not read itself; returns whether more may wait. */
-    boolean readBacklog() {
-        for (int i = 0; i < MAX_READS_PER_ROUND; i++) {
-            if (!readNow()) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     private void deliver(byte[] bytes, int count, long receivedAt) {
         if (inputIgnored || lingerUntil < Long.MAX_VALUE) {
             ignoredBytes += count;
