Keep subscriptions to a slow control feed open until a later one has told as much

Cause: FeedClient closed a connection on which no whole line came for 2.3 s, and the next one began from nothing with the same limit. One figure decided when to ask again and when to give up what may still come. The same cause closed attempts to connect after 1 s, the old connection at a new configuration, and threw away the collected events of a feed whose numbers begin again.

Change: membership.FeedSubscriptions, without I/O or clock, decides which subscriptions to open and to close. A silent one stays open; after 2.3 s, as before, another one is opened beside it, and the first that is up to date ends the others. At most 4 are open, repeats back off with jitter, bytes that arrive fast enough count as life for up to 7 s. FeedClient carries this out on one thread. EngineListUpdates takes each number once when it is submitted, so that a subscription never begins before an event that was taken. feed.lost and feed.reached tell how long the feed was not heard, and the number of subscriptions.

Two checks of ProgramTest demanded the cause: that the old connection ends before the new address or the next subscription has told anything. They now demand that it goes on until then, that what it tells meanwhile counts, and that it ends after that.

--- a/src/main/java/cairnline/program/Configuration.java
+++ b/src/main/java/cairnline/program/Configuration.java
@@ -30,8 +30,8 @@
     private static final int MIN_SOCKETS = 64;
     /** Client connections beyond a third of the sockets, for connections that are being closed. */
     private static final int SPARE_CLIENT_SOCKETS = 24;
-    /** Descriptors of the program itself: jar and runtime archives, standard streams, listener, feed; it uses 20 to 25. */
-    private static final int PROGRAM_DESCRIPTORS = 32;
+    /** Descriptors of the program itself: jar and runtime archives, standard streams, listener, several to the feed. */
+    private static final int PROGRAM_DESCRIPTORS = 40;
     private static final long NANOS_PER_MICRO = 1_000;
     private static final long KEY_COOLDOWN_SLACK_NANOS = 100_000_000;
     /** After SIGTERM clients may still connect for up to 0.4 s, and send requests on these connections for 0.2 s more. */
--- a/src/main/java/cairnline/program/Server.java
+++ b/src/main/java/cairnline/program/Server.java
@@ -18,6 +18,7 @@
 import cairnline.store.SnapshotWriter;
 import cairnline.transport.ClientFront;
 import cairnline.transport.ConnectionMemory;
+import cairnline.transport.EngineListEntries;
 import cairnline.transport.EventLoop;
 import cairnline.transport.FeedClient;
 import cairnline.transport.Listener;
@@ -79,7 +80,7 @@
         // Merged into one event: the actor does not run yet, and a full day has more events than its mailbox can hold.
         listUpdates.submitUpdate(configuration.lastInitialEventNumber(), true,
                 configuration.initialEvents().stream().allMatch(event -> event.engines() == null) ? null
-                : FeedClient.toListedEngines(
+                : EngineListEntries.toListedEngines(
                         FeedEvent.currentList(configuration.lastInitialEventNumber(), configuration.initialEvents()), wallClock));
         odataServer = settings.odata() == null ? null
                 : new ODataServer(configuration, settings.odata(), loop, clientMemory, engineMemory, log);
@@ -127,7 +128,7 @@
 
     private void submitInitialEvents(Configuration configuration) {
         configuration.initialEvents().forEach(event ->
-                listUpdates.submitUpdate(event.number(), event.complete(), FeedClient.toListedEngines(event, wallClock)));
+                listUpdates.submitUpdate(event.number(), event.complete(), EngineListEntries.toListedEngines(event, wallClock)));
     }
 
     /** Reloads the configuration. It is read completely before any of it is applied; if it is invalid, the old one stays. */
--- a/src/main/java/cairnline/routing/EngineListUpdates.java
+++ b/src/main/java/cairnline/routing/EngineListUpdates.java
@@ -7,6 +7,7 @@
 public final class EngineListUpdates implements Actor.Handler {
     private final Dispatcher dispatcher;
     private final Actor actor;
+    /** Written under this object's lock. */
     private volatile long lastNumber;
 
     /** Creates an actor that is not started yet and has received no update. */
@@ -21,28 +22,30 @@
         actor.start();
     }
 
-    /** Returns the number of the latest update that was passed on. Safe to call on any thread. */
+    /** Returns the number of the latest update that was submitted. Safe to call on any thread. */
     public long lastNumber() {
         return lastNumber;
     }
 
     /**
-     * Submits an update; blocks while the mailbox is full.
+     * Submits an update; blocks while the mailbox is full. An update that is not later than the last one is ignored: several
+     * subscriptions, and a reloaded configuration, may tell the same ones. Safe to call on any thread.
      *
      * @param number number of the update in the feed
      * @param complete whether the update holds all engines
      * @param entries the changed entries; null for an event that changes nothing
      */
-    public void submitUpdate(long number, boolean complete, List<ListedEngine> entries) {
-        actor.put(() -> {
-            // After a reconnect the feed may send the latest updates once more.
-            if (number > lastNumber) {
-                lastNumber = number;
-                if (entries != null) {
-                    dispatcher.listUpdated(complete, entries);
-                }
-            }
-        });
+    public synchronized void submitUpdate(long number, boolean complete, List<ListedEngine> entries) {
+        if (number > lastNumber) {
+            lastNumber = number;
+            passOn(complete, entries);
+        }
+    }
+
+    private void passOn(boolean complete, List<ListedEngine> entries) {
+        if (entries != null) {
+            actor.put(() -> dispatcher.listUpdated(complete, entries));
+        }
     }
 
     /**
@@ -50,13 +53,9 @@
      *
      * @param entries all engines; null if the feed has told none, so that the present list stays
      */
-    public void restartNumbers(long number, List<ListedEngine> entries) {
-        actor.put(() -> {
-            lastNumber = number;
-            if (entries != null) {
-                dispatcher.listUpdated(true, entries);
-            }
-        });
+    public synchronized void restartNumbers(long number, List<ListedEngine> entries) {
+        lastNumber = number;
+        passOn(true, entries);
     }
 
     /**
--- a/src/main/java/cairnline/transport/FeedClient.java
+++ b/src/main/java/cairnline/transport/FeedClient.java
@@ -1,23 +1,27 @@
 package cairnline.transport;
 
-import cairnline.control.ControlApi.EngineStatus;
-import cairnline.protocol.ByteQueue;
+import cairnline.logs.EventSink;
+import cairnline.membership.FeedSubscriptions;
 import cairnline.protocol.FeedEvent;
-import cairnline.protocol.ProtocolException;
 import cairnline.routing.Clock;
 import cairnline.routing.EngineListUpdates;
 import cairnline.routing.Limits;
 import cairnline.routing.WallClock;
-import cairnline.logs.EventSink;
-import cairnline.membership.ListedEngine;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
 
-/** Subscribes to the control feed. Reconnects after a delay when the connection is lost, and resumes after the last event. */
+/**
+ * Receives the engine list from the control feed: one thread that serves the subscriptions which {@link FeedSubscriptions} asks
+ * for. Each of them resumes after the last event that was applied. Several may tell the same events, which are applied once.
+ */
 public final class FeedClient {
     private static final int READ_BUFFER_BYTES = 8192;
 
@@ -26,13 +30,19 @@
     private final Clock clock;
     private final WallClock wallClock;
     private final EventSink log;
-    /** Confined to the reading thread. */
+    private final FeedStatus status;
+    private volatile InetSocketAddress address;
+    private volatile boolean stopped;
+    /** Null before the start. */
+    private volatile Selector selector;
+
+    /* The fields below are confined to the thread of this client. */
+    private final FeedSubscriptions subscriptions;
+    private final Map<Long, FeedConnection> connections = new HashMap<>();
+    private final ByteBuffer buffer = ByteBuffer.allocate(READ_BUFFER_BYTES);
     private final FeedNumbering numbering;
-    private InetSocketAddress address;
-    private boolean firstReadReported;
-    /** The connection to {@link #address}; closing it interrupts the reading thread. */
-    private Socket socket = new Socket();
-    private boolean stopped;
+    /** When the first read of the feed counts as done at the latest; {@code Long.MAX_VALUE} once it is reported. */
+    private long firstReadDueAt;
 
     /** Creates a client, not yet started. */
     public FeedClient(InetSocketAddress address, EngineListUpdates list, Limits limits, Clock clock, WallClock wallClock,
@@ -43,177 +53,242 @@
         this.clock = clock;
         this.wallClock = wallClock;
         this.log = log;
-        this.numbering = new FeedNumbering(limits.feed().silenceTimeout());
+        this.status = new FeedStatus(log, clock.micros());
+        Limits.Feed feed = limits.feed();
+        this.numbering = new FeedNumbering(feed.silenceTimeout());
+        this.subscriptions = new FeedSubscriptions(address,
+                new FeedSubscriptions.Timing(feed.connectTimeout(), feed.reconnectDelay(), feed.silenceTimeout()),
+                new SplittableRandom());
     }
 
     /** Starts the thread that reads the feed. */
     public void start() {
+        try {
+            selector = Selector.open();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
         Threads.startCritical("feed", limits.routing().stackBytes(), this::run);
     }
 
-    /** Reconnects to another address of the same feed, whose event numbers continue. Safe for any thread. */
-    public synchronized void changeAddress(InetSocketAddress newAddress) {
-        if (!newAddress.equals(address)) {
-            address = newAddress;
-            Threads.close(socket);
-            notifyAll();
-        }
+    /** Subscribes at another address of the same feed, whose event numbers continue. Safe for any thread. */
+    public void changeAddress(InetSocketAddress newAddress) {
+        address = newAddress;
+        wakeUp();
     }
 
     /** Ends the thread that reads the feed. Safe for any thread. */
-    public synchronized void stop() {
+    public void stop() {
         stopped = true;
-        Threads.close(socket);
-        notifyAll();
+        wakeUp();
     }
 
-    private synchronized boolean isStopped() {
-        return stopped;
+    private void wakeUp() {
+        Selector started = selector;
+        if (started != null) {
+            started.wakeup();
+        }
     }
 
     private void run() {
-        boolean disconnected = false;
-        InetSocketAddress currentAddress;
-        do {
-            Socket newSocket = new Socket();
-            currentAddress = registerSocket(newSocket);
-            try (newSocket) {
-                newSocket.connect(currentAddress, (int) Clock.toMillis(limits.feed().connectTimeout()));
-                newSocket.getOutputStream().write(("SUB " + startSubscription() + "\n").getBytes(StandardCharsets.US_ASCII));
-                read(newSocket, disconnected);
-            } catch (IOException | RuntimeException e) {
-                // Unexpected exceptions too: if this thread ended, the engine list would never be updated again.
-                if (!disconnected && !isStopped()) {
-                    log.warn("feed.lost", "control feed connection failed: " + e.getMessage(), "address", currentAddress);
-                }
+        firstReadDueAt = clock.micros() + limits.feed().connectTimeout();
+        while (!stopped) {
+            subscriptions.changeAddress(address);
+            carryOutDecisions();
+            if (clock.micros() >= firstReadDueAt) {
+                reportFirstRead();
             }
-            reportFirstRead();
-            disconnected = true;
-        } while (awaitReconnect(currentAddress));
+            awaitReadiness();
+            serveReady();
+        }
+        connections.values().forEach(FeedConnection::close);
+        Threads.close(selector);
+    }
+
+    private void carryOutDecisions() {
+        subscriptions.decide(clock.micros()).forEach(this::carryOut);
+    }
+
+    private void carryOut(FeedSubscriptions.Decision decision) {
+        if (decision instanceof FeedSubscriptions.Open open) {
+            open(open);
+        } else if (decision instanceof FeedSubscriptions.Close close) {
+            connections.remove(close.id()).close();
+        }
     }
 
-    /** Returns the number after which to subscribe; a collection that the last connection did not complete begins anew. */
-    private long startSubscription() {
-        if (numbering.isCollecting()) {
-            numbering.startCollecting();
+    private void open(FeedSubscriptions.Open decision) {
+        long now = clock.micros();
+        FeedConnection connection = new FeedConnection(decision.id(), decision.address(), now,
+                numbering.subscriptionNumber(list.lastNumber()), limits.feed().lineBytes(), numbering.isCollecting());
+        connections.put(connection.id(), connection);
+        if (!subscriptions.isTelling(now)) {
+            status.opened(connections.size(), now);
         }
-        return numbering.subscriptionNumber(list.lastNumber());
+        runGuarded(connection, () -> {
+            if (connection.connect(selector)) {
+                subscribe(connection);
+            }
+        });
+    }
+
+    private void subscribe(FeedConnection connection) throws IOException {
+        long now = clock.micros();
+        subscriptions.connected(connection.id(), now);
+        if (firstReadDueAt < Long.MAX_VALUE) {
+            // A feed without news sends nothing until its next heartbeat.
+            firstReadDueAt = now + limits.feed().firstUpdateTimeout();
+        }
+        connection.writeSubscription();
     }
 
     /** Reports, once, that the first read of the feed has completed or failed. */
     private void reportFirstRead() {
-        if (!firstReadReported) {
-            firstReadReported = true;
+        if (firstReadDueAt < Long.MAX_VALUE) {
+            firstReadDueAt = Long.MAX_VALUE;
             list.firstReadDone();
         }
     }
 
-    private synchronized InetSocketAddress registerSocket(Socket newSocket) {
-        socket = newSocket;
-        if (stopped) {
-            Threads.close(newSocket);
+    private void awaitReadiness() {
+        long waitMicros = Math.min(subscriptions.nextEventAt(), firstReadDueAt) - clock.micros();
+        try {
+            if (waitMicros <= 0) {
+                selector.selectNow();
+            } else {
+                selector.select(Clock.toMillis(waitMicros));
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("selector failed", e);
         }
-        return address;
     }
 
-    /** Waits for the reconnect delay, or until the address is no longer {@code previous}; false if it is to end instead. */
-    private synchronized boolean awaitReconnect(InetSocketAddress previous) {
-        long retryAt = clock.micros() + limits.feed().reconnectDelay();
-        try {
-            for (long remaining = limits.feed().reconnectDelay(); remaining > 0 && previous.equals(address) && !stopped;
-                    remaining = retryAt - clock.micros()) {
-                wait(Clock.toMillis(remaining));
-            }
-            return !stopped;
-        } catch (InterruptedException e) {
-            return false;
-        }
-    }
-
-    private void read(Socket source, boolean wasDisconnected) throws IOException {
-        ByteQueue bytes = new ByteQueue();
-        byte[] buffer = new byte[READ_BUFFER_BYTES];
-        int scannedBytes = 0;
-        if (wasDisconnected) {
-            log.info("feed.reached", "control feed connected again");
-        }
-        long deadline = clock.micros() + limits.feed().silenceTimeout();
-        for (int count = readFirst(source, buffer); count >= 0; count = receive(source, buffer, deadline)) {
-            bytes.feed(buffer, 0, count);
-            for (int lineEnd = bytes.indexOf('\n', scannedBytes); lineEnd >= 0; lineEnd = bytes.indexOf('\n', 0)) {
-                handleLine(bytes.take(lineEnd));
-                bytes.skip(1);
-                deadline = clock.micros() + limits.feed().silenceTimeout();
-            }
-            reportFirstRead();
-            scannedBytes = bytes.size();
-            if (scannedBytes > limits.feed().lineBytes()) {
-                throw new ProtocolException("line longer than " + limits.feed().lineBytes() + " bytes");
-            }
+    private void serveReady() {
+        for (SelectionKey key : selector.selectedKeys()) {
+            FeedConnection connection = (FeedConnection) key.attachment();
+            runGuarded(connection, () -> serve(connection));
+            // At once, so that nothing is read from a subscription that this one has replaced.
+            carryOutDecisions();
         }
-        throw new IOException("connection closed by the feed");
+        selector.selectedKeys().clear();
     }
 
-    /** Reads the first bytes; 0 if none arrive in time, since a feed without news sends nothing until its next heartbeat. */
-    private int readFirst(Socket source, byte[] buffer) throws IOException {
-        try {
-            return receive(source, buffer, clock.micros() + limits.feed().firstUpdateTimeout());
-        } catch (SocketTimeoutException e) {
-            return 0;
+    private void serve(FeedConnection connection) throws IOException {
+        if (connection.finishConnect()) {
+            subscribe(connection);
+        } else if (connection.mayWrite()) {
+            connection.writeSubscription();
         }
+        int count = connection.read(buffer);
+        if (count > 0) {
+            subscriptions.received(connection.id(), count, clock.micros());
+        }
+        byte[] line = connection.takeLine();
+        while (line != null) {
+            handleLine(connection, line);
+            line = connections.containsKey(connection.id()) ? connection.takeLine() : null;
+        }
+    }
+
+    private interface Task {
+        void run() throws IOException;
     }
 
-    /** Reads bytes. Only complete lines extend the deadline: a feed may stop within a line, or send single bytes indefinitely. */
-    private int receive(Socket source, byte[] buffer, long deadline) throws IOException {
-        long remainingMicros = deadline - clock.micros();
-        if (remainingMicros <= 0) {
-            throw new SocketTimeoutException("no complete line received in time");
+    /** Runs a task for a connection; its failure ends the connection, also an unexpected one, but not the thread. */
+    private void runGuarded(FeedConnection connection, Task task) {
+        if (!connections.containsKey(connection.id())) {
+            return;
+        }
+        try {
+            task.run();
+        } catch (IOException | RuntimeException e) {
+            status.failed(connection, e);
+            connection.close();
+            connections.remove(connection.id());
+            subscriptions.ended(connection.id(), clock.micros());
+            reportFirstRead();
         }
-        source.setSoTimeout((int) Clock.toMillis(remainingMicros));
-        return source.getInputStream().read(buffer);
     }
 
-    private void handleLine(byte[] line) throws IOException {
+    private void handleLine(FeedConnection connection, byte[] line) {
         wallClock.sample();
         FeedEvent event = FeedEvent.parseLine(line);
         if (event == null) {
-            handleLastNumber(FeedEvent.parseLastNumber(line));
-        } else if (numbering.isCollecting()) {
+            handleLastNumber(connection, FeedEvent.parseLastNumber(line));
+        } else {
+            handleEvent(connection, event);
+        }
+        reportFirstRead();
+    }
+
+    private void handleEvent(FeedConnection connection, FeedEvent event) {
+        boolean collects = collects(connection);
+        if (collects) {
             numbering.collect(event);
         } else {
-            list.submitUpdate(event.number(), event.complete(), toListedEngines(event, wallClock));
+            list.submitUpdate(event.number(), event.complete(), EngineListEntries.toListedEngines(event, wallClock));
         }
+        connection.toldEvent(event.number());
+        reportLine(connection, !collects && connection.lastNumber() >= list.lastNumber());
+    }
+
+    /** Whether the events of this connection are collected until they make up the list of a feed whose numbers began again. */
+    private boolean collects(FeedConnection connection) {
+        return connection.isCollecting() && numbering.isCollecting();
+    }
+
+    private void reportLine(FeedConnection connection, boolean upToDate) {
+        long now = clock.micros();
+        status.heard(connection.openedAt(), now);
+        subscriptions.told(connection.id(), upToDate, now);
     }
 
     /** Handles a line with only the last event number. */
-    private void handleLastNumber(long number) throws IOException {
-        if (numbering.isCollecting()) {
-            FeedEvent present = numbering.finishCollecting(number);
-            list.restartNumbers(number, toListedEngines(present, wallClock));
-            log.info("feed.restarted", "the control feed's numbers have begun again; its list is taken as a whole", "number",
-                    number);
-        } else if (numbering.hasBegunAgain(number, list.lastNumber(), clock.micros())) {
-            numbering.startCollecting();
-            throw new IOException("its last event is " + number + ", and " + list.lastNumber() + " is known");
-        }
-    }
-
-    /** Converts the entries of an event for the dispatcher; null if the event does not change the list. */
-    public static List<ListedEngine> toListedEngines(FeedEvent event, WallClock wallClock) {
-        return event.engines() == null ? null : event.engines().stream().map(entry -> toListedEngine(entry, wallClock)).toList();
-    }
-
-    private static ListedEngine toListedEngine(FeedEvent.EngineEntry entry, WallClock wallClock) {
-        EngineStatus status = switch (entry.state()) {
-            case IN_SERVICE -> EngineStatus.READY;
-            case TERMINATING -> EngineStatus.DRAINING;
-            case TERMINATED -> EngineStatus.REMOVED;
-        };
-        long startedAt = wallClock.startOf(entry.id(), Clock.ofUnix(entry.startedAtMillis()));
-        if (status == EngineStatus.REMOVED) {
-            wallClock.forget(entry.id());
-        }
-        return new ListedEngine(entry.id(), entry.address(), status, entry.zone(), entry.kind(), entry.cell(),
-                entry.weight(), startedAt);
+    private void handleLastNumber(FeedConnection connection, long number) {
+        boolean current = subscriptions.isCurrent(connection.id());
+        boolean collects = collects(connection);
+        if (collects && current && number >= numbering.lastCollected()) {
+            takeCollectedList(connection, number);
+            return;
+        }
+        boolean upToDate = !collects && number >= connection.lastNumber() && connection.lastNumber() >= list.lastNumber();
+        reportLine(connection, upToDate);
+        if (current && upToDate) {
+            numbering.goesOn();
+        } else if (current && hasBegunAgain(connection, number)) {
+            subscribeFromFirstEvent(number);
+        }
+    }
+
+    private boolean hasBegunAgain(FeedConnection connection, long number) {
+        long now = clock.micros();
+        if (collects(connection)) {
+            return numbering.hasBegunAgain(number, numbering.lastCollected(), false, now);
+        }
+        boolean othersGoOn = subscriptions.isOtherUpToDate(connection.id(), now);
+        long expected = othersGoOn ? connection.lastNumber() : list.lastNumber();
+        return numbering.hasBegunAgain(number, expected, othersGoOn || number >= connection.lastNumber(), now);
+    }
+
+    /** Replaces the subscriptions to a feed whose numbers have begun again by one that starts with its first event. */
+    private void subscribeFromFirstEvent(long number) {
+        log.info("feed.behind", "the control feed's last event is lower than the last one known; its list is asked for anew",
+                "number", number, "known", list.lastNumber());
+        numbering.startCollecting();
+        for (FeedConnection connection : List.copyOf(connections.values())) {
+            if (subscriptions.isCurrent(connection.id())) {
+                connections.remove(connection.id()).close();
+                subscriptions.endedForRestart(connection.id());
+            }
+        }
+    }
+
+    /** Takes the collected events of a feed whose numbers have begun again as its present list. */
+    private void takeCollectedList(FeedConnection connection, long number) {
+        FeedEvent present = numbering.finishCollecting(number);
+        list.restartNumbers(number, EngineListEntries.toListedEngines(present, wallClock));
+        connection.toldEvent(number);
+        reportLine(connection, true);
+        log.info("feed.restarted", "the control feed's numbers have begun again; its list is taken as a whole", "number", number);
     }
 }
--- a/src/test/java/cairnline/program/DiscoveryTest.java
+++ b/src/test/java/cairnline/program/DiscoveryTest.java
@@ -47,6 +47,8 @@
     private final LinkedBlockingQueue<StandInClient.Answer> answers = new LinkedBlockingQueue<>();
     private StandInFeed feed;
     private int requestCount;
+    /** Interval between writes of the list. Tests that take long set a longer one, since the writes in a minute are limited. */
+    private String saveInterval = "200ms";
 
     @BeforeEach
     void createOfflineFeed() throws IOException {
@@ -106,7 +108,7 @@
                 SnapshotCodec.encode(new Snapshot(unixMicros(), List.of(stored))));
         ManagerProcess manager = closeAfterTest(new ManagerProcess(folder.resolve("m" + frontIndex), frontIndex,
                 frontCount, feed.address(),
-                "discovery: snapshot: {dir: \"" + snapshotFolder(frontIndex) + "\", every: 200ms}", initialEvents));
+                "discovery: snapshot: {dir: \"" + snapshotFolder(frontIndex) + "\", every: " + saveInterval + "}", initialEvents));
         manager.start();
         return manager;
     }
@@ -398,4 +400,59 @@
         awaitCondition(() -> feed.subscriptions().contains("SUB 0"));
         awaitStored("e2", State.DRAINING);
     }
+
+    /** Guards against a feed that is never heard since it begins to answer later than a connection may be silent. */
+    @Test
+    void hearsAFeedThatBeginsToAnswerLate() throws Exception {
+        saveInterval = "5s";
+        StandInRespEngine engine = startEngine();
+        feed.publish(true, List.of(new StandInFeed.EngineEntry("e1", engine.address(), "in_service", 0)));
+        feed.delayAnswers(3_000);
+        feed.goOnline();
+        startManager();
+        awaitStored("e1", State.CONFIRMED);
+        feed.publish(false, List.of(new StandInFeed.EngineEntry("e1", engine.address(), "terminating", 0)));
+        awaitStored("e1", State.DRAINING);
+    }
+
+    /** Guards against the events of a new feed that are thrown away with each connection on which they come late. */
+    @Test
+    void followsANewFeedWhoseNumbersBeginAgainAndWhichAnswersLate() throws Exception {
+        saveInterval = "5s";
+        StandInRespEngine first = startEngine();
+        StandInRespEngine second = startEngine();
+        feed.publish(true, List.of(new StandInFeed.EngineEntry("e1", first.address(), "in_service", 0)));
+        feed.publish(false, List.of());
+        feed.goOnline();
+        startManager();
+        awaitStored("e1", State.CONFIRMED);
+        feed.goOffline();
+        feed.forgetEvents();
+        feed.delayAnswers(3_000);
+        feed.publish(true, List.of(new StandInFeed.EngineEntry("e2", second.address(), "in_service", 0)));
+        feed.goOnline();
+        awaitStored("e2", State.CONFIRMED);
+    }
+
+    /** Guards against an earlier feed, whose connection was kept, that undoes what a new one at another address tells. */
+    @Test
+    void ignoresAnEarlierFeedOnceANewOneWhoseNumbersBeginAgainIsFollowed() throws Exception {
+        saveInterval = "5s";
+        StandInRespEngine first = startEngine();
+        StandInRespEngine second = startEngine();
+        StandInFeed newFeed = closeAfterTest(new StandInFeed());
+        newFeed.publish(true, List.of(new StandInFeed.EngineEntry("e2", second.address(), "in_service", 0)));
+        feed.publish(true, List.of(new StandInFeed.EngineEntry("e1", first.address(), "in_service", 0)));
+        feed.publish(false, List.of());
+        feed.goOnline();
+        ManagerProcess manager = startManager();
+        awaitStored("e1", State.CONFIRMED);
+        manager.editConfiguration(text -> text.replace(feed.address(), newFeed.address()));
+        manager.reload(false);
+        awaitStored("e2", State.CONFIRMED);
+        feed.publish(false, List.of(new StandInFeed.EngineEntry("e1", first.address(), "in_service", 0)));
+        newFeed.publish(false, List.of(new StandInFeed.EngineEntry("e2", second.address(), "terminating", 0)));
+        awaitStored("e2", State.DRAINING);
+        assertEquals(Map.of("e2", State.DRAINING), storedStates(snapshotFolder(0)));
+    }
 }
--- a/src/test/java/cairnline/program/ProgramTest.java
+++ b/src/test/java/cairnline/program/ProgramTest.java
@@ -122,6 +122,12 @@
                 sendSighup(process);
                 try (Socket second = newFeed.accept()) {
                     assertEquals("SUB 1", readLine(second));
+                    // The new address has told nothing yet, so what the old one tells still counts.
+                    first.getOutputStream().write(feedEvent(2));
+                }
+                try (Socket second = newFeed.accept()) {
+                    assertEquals("SUB 2", readLine(second));
+                    second.getOutputStream().write("2\n".getBytes(StandardCharsets.US_ASCII));
                     assertEquals(-1, first.getInputStream().read(), "still connected to the old address");
                     Files.writeString(folder.resolve("config.json"), "{");
                     sendSighup(process);
@@ -129,11 +135,11 @@
                     while (!logLine.startsWith("cairnline: the old configuration stays: ROUTER_CONFIG")) {
                         logLine = readLine(process);
                     }
-                    second.getOutputStream().write(feedEvent(2));
+                    second.getOutputStream().write(feedEvent(3));
                     Files.writeString(folder.resolve("config.json"), configJson(0, oldFeed.getLocalPort()));
                     sendSighup(process);
                     try (Socket third = oldFeed.accept()) {
-                        assertEquals("SUB 2", readLine(third));
+                        assertEquals("SUB 3", readLine(third));
                     }
                 }
             } finally {
@@ -143,7 +149,10 @@
         }
     }
 
-    /** A feed that never completes a line must be disconnected, although it keeps sending single bytes. */
+    /**
+     * A feed that never completes a line must be replaced, although it keeps sending single bytes, and be disconnected once
+     * another subscription tells a line.
+     */
     @Test
     void reconnectsToFeedThatNeverCompletesLine() throws Exception {
         try (ServerSocket feed = listen()) {
@@ -151,16 +160,10 @@
             try (Socket first = feed.accept()) {
                 assertEquals("SUB 0", readLine(first));
                 first.getOutputStream().write(feedEvent(1));
-                first.setSoTimeout(100);
-                for (int lastRead = 0; lastRead >= 0;) {
-                    try {
-                        lastRead = first.getInputStream().read();
-                    } catch (SocketTimeoutException e) {
-                        first.getOutputStream().write('1');
-                    }
-                }
-                try (Socket second = feed.accept()) {
+                try (Socket second = acceptWhileSending(feed, first)) {
                     assertEquals("SUB 1", readLine(second));
+                    second.getOutputStream().write("1\n".getBytes(StandardCharsets.US_ASCII));
+                    assertEquals(-1, first.getInputStream().read(), "still connected to the feed that never completes a line");
                 }
             } finally {
                 process.toHandle().destroy();
@@ -169,6 +172,20 @@
         }
     }
 
+    /** Accepts the next subscription while single bytes are sent to the previous one. */
+    private static Socket acceptWhileSending(ServerSocket feed, Socket previous) throws IOException {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        feed.setSoTimeout(100);
+        while (System.nanoTime() < deadline) {
+            try {
+                return feed.accept();
+            } catch (SocketTimeoutException e) {
+                previous.getOutputStream().write('1');
+            }
+        }
+        throw new AssertionError("no other subscription was opened");
+    }
+
     private static ServerSocket listen() throws IOException {
         ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
         server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
