Ask a feed less often whose silent subscriptions go on by themselves

What was seen: in a course on virtual time, a feed with one worker that takes 3.6 s or more for each subscription, and tells nothing meanwhile, was asked 15 to 17 times in 60 s. It spent all its time on subscriptions and fell behind by up to 7 s.

Cause: the interval between two subscriptions was at most 4 s, whatever the feed needs for one.

Change: the interval is at least 1.5 times the longest silence after which a subscription went on by itself, at most 7 s. It is forgotten with the back-off, once no further subscription was needed for 10 s, so a connection that falls silent is replaced as promptly as before.

--- a/src/main/java/cairnline/membership/FeedSubscriptions.java
+++ b/src/main/java/cairnline/membership/FeedSubscriptions.java
@@ -30,6 +30,8 @@
     private static final long MAX_INTERVAL_MICROS = 4 * SECOND_MICROS;
     /** The same if the connection of the first one is not established yet, which costs the feed little. */
     private static final long MAX_CONNECT_INTERVAL_MICROS = 1_600_000;
+    /** The time between two subscriptions, as a multiple of the longest silence after which the feed went on by itself. */
+    private static final double SILENCE_MULTIPLE = 1.5;
     private static final double INTERVAL_GROWTH = 1.5;
     /** Delays do not grow further after this many attempts. */
     private static final int MAX_BACKOFF_ATTEMPTS = 8;
@@ -39,6 +41,8 @@
     private static final long MIN_BYTES_PER_SECOND = 16_384;
     /** However fast its bytes come, a line that is not complete after this time does not hold up another subscription. */
     private static final long MAX_LINE_MICROS = 7 * SECOND_MICROS;
+    /** Maximum time between two subscriptions to a feed that went on by itself after long silences. */
+    private static final long MAX_SLOW_INTERVAL_MICROS = 7 * SECOND_MICROS;
     /** A subscription that has completed no line for this long is closed. */
     private static final long ABANDON_MICROS = 60 * SECOND_MICROS;
 
@@ -53,6 +57,8 @@
     private long lastOpenedAt;
     /** Number of subscriptions opened since retries last began to back off. */
     private int attempts;
+    /** The longest silence after which a subscription went on by itself since retries last began to back off. */
+    private long longestSilence;
     /** Share of the full delay or interval before the next attempt, drawn anew for each one. */
     private double jitter = 1;
     /** Whether a subscription is to be opened at once, whatever others are open. */
@@ -111,6 +117,7 @@
         }
         address = newAddress;
         attempts = 0;
+        longestSilence = 0;
         openNow = open.values().stream().noneMatch(this::isCurrent);
     }
 
@@ -144,6 +151,7 @@
         if (subscription == null) {
             return;
         }
+        longestSilence = Math.max(longestSilence, now - subscription.lineSince);
         subscription.told = true;
         subscription.upToDate = upToDate;
         subscription.lineSince = now;
@@ -153,6 +161,7 @@
         }
         if (isCurrent(subscription) && now - lastOpenedAt >= STABLE_MICROS) {
             attempts = 0;
+            longestSilence = 0;
         }
     }
 
@@ -276,7 +285,8 @@
         long base = youngest.connected ? timing.silenceTimeout() : timing.connectTimeout() + timing.reconnectDelay();
         long bound = youngest.connected ? MAX_INTERVAL_MICROS : MAX_CONNECT_INTERVAL_MICROS;
         double full = Math.min(bound, base * Math.pow(INTERVAL_GROWTH, Math.max(0, attempts - 1)));
-        return (long) (full * (3 + jitter) / 4);
+        double ofSlowFeed = Math.min(MAX_SLOW_INTERVAL_MICROS, longestSilence * SILENCE_MULTIPLE);
+        return (long) Math.max(full * (3 + jitter) / 4, ofSlowFeed);
     }
 
     private long reconnectDelay() {
--- a/src/test/java/cairnline/membership/FeedCourseTest.java
+++ b/src/test/java/cairnline/membership/FeedCourseTest.java
@@ -36,6 +36,8 @@
         long lineTime;
         /** Time for which one worker is busy with each subscription, in order; 0 if subscriptions do not wait for others. */
         long workerTime;
+        /** Whether nothing is told to others while the worker is busy with a subscription. */
+        boolean workerTellsLines;
         /** How long after its first line a subscription is closed. */
         long closedAfter = NEVER;
         /** Times at which all open subscriptions are closed, or stop and stay open. */
@@ -141,11 +143,16 @@
         if (now >= subscriber.closesAt) {
             subscribers.remove(id);
             subscriptions.ended(id, now);
-        } else if (now < subscriber.stopsAt && now >= subscriber.firstLineAt) {
+        } else if (now < subscriber.stopsAt && now >= subscriber.firstLineAt && (!feed.workerTellsLines || isWorkerFree(now))) {
             tell(id, subscriber, now);
         }
     }
 
+    /** Whether a worker that serves subscribers in order has a moment for lines, which is when it is done with one of them. */
+    private boolean isWorkerFree(long now) {
+        return now >= workerFreeAt || (workerFreeAt - now) % feed.workerTime < STEP;
+    }
+
     private void tell(long id, Subscriber subscriber, long now) {
         if (subscriber.lineEndsAt > now) {
             subscriptions.received(id, 1, now);
@@ -226,6 +233,16 @@
         assertTrue(openedCount <= 4, "subscriptions: " + openedCount);
     }
 
+    /** Guards against subscriptions that keep a feed with one worker from telling its events in time. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void leavesAFeedWithOneWorkerTheTimeToTellEvents(long seed) {
+        feed.workerTime = 1_500 * MILLI + new SplittableRandom(seed).nextLong(3 * SECOND);
+        feed.workerTellsLines = true;
+        playAndCheck(seed, 7 * SECOND);
+        assertTrue(openedCount * feed.workerTime <= COURSE * 3 / 4, "the worker has no time left for events: " + openedCount);
+    }
+
     /** Guards against a stop after which the feed is asked again later than 4 s after it. */
     @ParameterizedTest
     @MethodSource("seeds")
