--- a/src/main/java/cairnline/transport/FeedClient.java
+++ b/src/main/java/cairnline/transport/FeedClient.java
@@ -123,7 +123,7 @@
                 numbering.subscriptionNumber(list.lastNumber()), limits.feed().lineBytes(), numbering.isCollecting());
         connections.put(connection.id(), connection);
         if (!subscriptions.isTelling(now)) {
-            status.opened(connections.size(), now);
+            status.opened(connection, connections.size(), now);
         }
         runGuarded(connection, () -> {
             if (connection.connect(selector)) {
@@ -202,7 +202,7 @@
         try {
             task.run();
         } catch (IOException | RuntimeException e) {
-            status.failed(connection, e);
+            status.failed(e);
             connection.close();
             connections.remove(connection.id());
             subscriptions.ended(connection.id(), clock.micros());
--- a/src/main/java/cairnline/transport/FeedStatus.java
+++ b/src/main/java/cairnline/transport/FeedStatus.java
@@ -24,21 +24,21 @@
         this.lastHeardAt = now;
     }
 
-    /** Records that a subscription was opened while none tells anything; {@code openCount} of them are open. */
-    void opened(int openCount, long now) {
+    /** Records that this subscription was opened while none tells anything; {@code openCount} of them are open. */
+    void opened(FeedConnection connection, int openCount, long now) {
         opened++;
         if (everOpened && (!lost || now >= nextReportAt)) {
-            log.warn("feed.lost", "the control feed is not heard: " + lastFailure, "silentMs", silentMillis(now), "subscriptions",
-                    opened, "open", openCount);
+            log.warn("feed.lost", "the control feed is not heard: " + lastFailure, "address", connection, "silentMs",
+                    silentMillis(now), "subscriptions", opened, "open", openCount);
             lost = true;
             nextReportAt = now + REPORT_INTERVAL_MICROS;
         }
         everOpened = true;
     }
 
-    /** Records that the subscription to this address has failed or ended. */
-    void failed(FeedConnection connection, Exception failure) {
-        lastFailure = connection + ": " + failure.getMessage();
+    /** Records that a subscription has failed or ended. */
+    void failed(Exception failure) {
+        lastFailure = failure.getMessage();
     }
 
     /** Records a complete line of a subscription that was opened at {@code openedAt}. */
