--- a/src/main/java/cairnline/transport/FeedClient.java
+++ b/src/main/java/cairnline/transport/FeedClient.java
@@ -184,10 +184,14 @@
             subscriptions.received(connection.id(), count, clock.micros());
         }
         byte[] line = connection.takeLine();
+        boolean told = line != null;
         while (line != null) {
             handleLine(connection, line);
             line = connections.containsKey(connection.id()) ? connection.takeLine() : null;
         }
+        if (told) {
+            reportFirstRead();
+        }
     }
 
     private interface Task {
@@ -218,7 +222,6 @@
         } else {
             handleEvent(connection, event);
         }
-        reportFirstRead();
     }
 
     private void handleEvent(FeedConnection connection, FeedEvent event) {
